A token is acted on only once all before it has been read

Controllers at their processor limit lost their node keys while still committing; the new owner opened its desk on the answer to its own ownership commit, before the watch had brought the old owner's last placements, and started those tasks again. The window is as wide as the watch is late, so small fleets never showed it. Ruled out: fencing by silence, direct orders, the roster of machines. Conclusion: decide() waits for the read; the node asks for one at once.

--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -307,7 +307,7 @@
   if (r.kind == state::CommitResult::applied) {
     shards_[k].moving = false;
     apply_own(t, r.revision);
-    shards();
+    barrier([this](bool) { shards(); });
     return;
   }
   // Lost a race, or not known: nothing is done before the state service has been read again. The
--- a/src/shard/ownership.cpp
+++ b/src/shard/ownership.cpp
@@ -40,6 +40,9 @@
   if (o.node == self) {
     if (o.stamp < registered_ || spent_[shard] == o.stamp) {
       take();
+    } else if (w.revision() < o.stamp) {
+      // Our own commit is known before what came just before it has been read: an earlier owner's
+      // last placements may be missing. A desk opened without them would start their tasks again.
     } else if (home != self && seen_since_[home] >= 0 && now - seen_since_[home] > kSettled) {
       m.kind = Move::hand_over;
       m.to = home;
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -133,6 +133,32 @@
   }
 }
 
+// A grown day saw a task started twice: the new owner knew of its own commit before it had read
+// the old owner's last placements, which were committed just before.
+TEST(Ownership, ATokenIsActedOnOnlyOnceAllBeforeItHasBeenRead) {
+  config::Settings s = make_settings(1);
+  state::World w(s);
+  Store store;
+  shard::Ownership o(s);
+  std::vector<state::Change> ch;
+  wire::Txn t;
+  t.ops.push_back({state::node_key("node-0"), "{}", 0});
+  store.commit(t);
+  o.registered(store.revision);
+  store.read(w, ch);
+  o.observe(w, 1);
+  EXPECT_EQ(o.decide(w, 0, 100).kind, shard::Move::take);
+  store.commit({{}, {{state::job_key("run-100000"), wire::encode_record(make_job(0, 1, 1)), 0}}});
+  wire::Txn own;
+  own.ops.push_back({state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", ""}), 0});
+  auto rev = store.commit(own);
+  w.apply({own.ops[0].key, own.ops[0].value, *rev}, ch);  // answered, not yet read
+  EXPECT_EQ(o.decide(w, 0, 101).kind, shard::Move::none);
+  store.read(w, ch);
+  EXPECT_EQ(o.decide(w, 0, 101).kind, shard::Move::act);
+  EXPECT_NE(w.job("run-100000"), nullptr);
+}
+
 TEST(Ownership, ATokenWhoseDeskWasClosedIsReclaimed) {
   config::Settings s = make_settings(1);
   state::World w(s);
