--- a/src/chain/walk.cpp
+++ b/src/chain/walk.cpp
@@ -1,5 +1,8 @@
 #include "chain/walk.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace shunt::chain {
 
 Outcome walk(const std::vector<Tier>& tiers, Rng& rng) {
@@ -7,6 +10,7 @@
   const Seat* fallback = nullptr;
   int fallback_tier = 0;
   std::size_t fallback_step = 0;
+  std::vector<std::pair<std::tuple<Bandit*, std::uint64_t, std::array<bool, kArms>>, Arm>> drawn;
   for (std::size_t t = 0; t < tiers.size(); ++t) {
     const Tier& tier = tiers[t];
     bool down_there = t + 1 < tiers.size();
@@ -18,13 +22,21 @@
       // Past the last machine there must be something to pass to.
       if (last && tier.end.kind == TierEnd::none) allowed[1] = false;
       if (!allowed[0] && !allowed[1] && !allowed[2]) continue;
-      Arm a = s.learner->choose(s.context, allowed, rng);
+      const auto key = std::tuple(s.learner, s.context.key(), allowed);
+      auto known = std::find_if(drawn.begin(), drawn.end(),
+                                [&](const auto& d) { return std::get<0>(d) == key; });
+      Arm a =
+          known != drawn.end() ? std::get<1>(*known) : s.learner->choose(s.context, allowed, rng);
       if (s.may_accept && !fallback) {
         fallback = &s;
         fallback_tier = tier.id;
         fallback_step = out.trail.size();
       }
-      out.trail.push_back({s.learner, s.context, a});
+      // A decision drawn once is recorded once.
+      if (known == drawn.end()) {
+        drawn.emplace_back(key, a);
+        out.trail.push_back({s.learner, s.context, a});
+      }
       if (a == Arm::accept) {
         out.kind = Outcome::accepted;
         out.tier = tier.id;
--- a/src/chain/walk.h
+++ b/src/chain/walk.h
@@ -1,6 +1,5 @@
 // A task's way through the chain (DESIGN points 1-5): tiers cheapest first, machines in order.
 #pragma once
-#include <memory>
 #include <vector>
 
 #include "chain/bandit.h"
@@ -9,14 +8,14 @@
 
 // One decision on the way: what to record the finish cost against.
 struct Step {
-  std::shared_ptr<Bandit> learner;
+  Bandit* learner = nullptr;  // the caller's
   Context context;
   Arm arm = Arm::accept;
 };
 
 struct Seat {
   int machine = 0;  // the caller's own number
-  std::shared_ptr<Bandit> learner;
+  Bandit* learner = nullptr;
   Context context;
   bool may_accept = true;  // false above b waiting tasks, or when the machine is leaving
   bool empty = false;      // empty machines cannot Pass
@@ -41,6 +40,8 @@
   std::vector<Step> trail;
 };
 
+// Each learner resamples its costs once a walk and context: machines that share a learner and a
+// context cannot differ, and a tier may have hundreds of them.
 Outcome walk(const std::vector<Tier>& tiers, Rng& rng);
 
 }  // namespace shunt::chain
--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -1,133 +1,196 @@
 // What the desk writes to the state service, and what follows from the answer.
 #include <algorithm>
-#include <cmath>
+#include <set>
 
 #include "fleet/desk.h"
 
 namespace shunt::fleet {
 
-using jobs::Amount;
-using jobs::Job;
 using jobs::JobPtr;
 
-std::optional<wire::Txn> Desk::next_txn(const state::World& w, int max_ops,
-                                        const std::string& tag) {
-  if (out_ || max_ops < 1) return std::nullopt;
-  wire::Txn t;
-  Out out;
-  std::set<std::string> guarded;
+namespace {
+constexpr double kDoneWait = 1.0;          // results wait so long for starts to share a change with
+constexpr std::size_t kSheetBytes = 5800;  // never longer, though values may be
+constexpr std::size_t kSheetsPerTxn = 3;
+constexpr std::size_t kFinalsPerTxn = 4;
+
+std::size_t digits(std::uint64_t n) {
+  std::size_t d = 1;
+  while (n >= 10) n /= 10, ++d;
+  return d;
+}
+}  // namespace
+
+Desk::Placement* Desk::placement(const Held& h) {
+  Machine* m = at(h.machine);
+  if (!m) return nullptr;
+  for (Placement& p : m->placements)
+    if (p.attempt == h.attempt && p.task == h.task && p.job == h.job) return &p;
+  return nullptr;
+}
+
+// Writes a sheet anew: what it holds and still matters, and as many of the starts and results as
+// it has room for. Its length is counted from above. False if there was room for nothing.
+bool Desk::fill_sheet(int index, const state::World& w, std::vector<Held>& starts,
+                      std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
+                      wire::Txn& t, Out& out) {
+  Sheet& sheet = sheets_[static_cast<std::size_t>(index)];
+  const std::size_t limit =
+      std::min(kSheetBytes, static_cast<std::size_t>(settings_.value_kb * 1024)) - 64;
   const std::size_t max_guards = static_cast<std::size_t>(settings_.txn_ops) * 4 - 2;
-  std::size_t ops = static_cast<std::size_t>(std::min(max_ops, settings_.txn_ops));
-  auto guard = [&](const std::string& key, std::uint64_t stamp) {
-    if (guarded.insert(key).second) t.guards.emplace_back(key, stamp);
+  wire::SheetRecord r;
+  r.tag = tag;
+  Out::Write write;
+  write.sheet = index;
+  std::size_t bytes = 48 + tag.size();
+  std::map<std::string, std::size_t> groups;  // by job: a job that is over may have several stubs
+  std::set<int> machines;
+  std::uint64_t base = token_ << 20;
+  for (const Held& h : sheet.held) base = std::min(base, h.attempt);
+
+  auto header = [&](const JobPtr& j) -> std::size_t {
+    if (groups.contains(j->spec.id)) return 0;
+    return 96 + j->spec.id.size() + (j->team >= 0 ? settings_.teams[j->team].name.size() : 0);
+  };
+  auto group = [&](const JobPtr& j) -> wire::SheetJob& {
+    auto [it, fresh] = groups.try_emplace(j->spec.id, r.jobs.size());
+    if (fresh)
+      r.jobs.push_back({j->spec.id, j->team, j->spec.cpus, j->spec.gpus, j->spec.mem_gb, {}, {}});
+    return r.jobs[it->second];
+  };
+  auto place_bytes = [&](const Held& h) {
+    std::size_t n = 6 + digits(h.task) + digits(h.attempt - base) + header(h.job);
+    if (!machines.contains(h.machine)) n += at(h.machine)->name.size() + 3;
+    return n;
   };
+  auto put = [&](const Held& h) {
+    group(h.job).places.push_back({at(h.machine)->name, h.task, h.attempt});
+    machines.insert(h.machine);
+  };
+  auto done_bytes = [&](const JobPtr& j, std::uint32_t c) {
+    return 16 + 8 * wire::intervals(j->chunk(c)).size() + header(j);
+  };
+  auto put_done = [&](const JobPtr& j, std::uint32_t c) {
+    auto bits = j->chunk(c);
+    group(j).done.emplace_back(c, wire::intervals(bits));
+    write.done.emplace_back(j, c, std::move(bits));
+  };
+
+  std::erase_if(sheet.held, [&](const Held& h) {
+    const Placement* p = placement(h);
+    return !p || p->released;
+  });
+  std::erase_if(sheet.done, [&](const auto& d) {
+    return d.first->gone || d.first->done_sheet[d.second] != index;
+  });
+  for (const Held& h : sheet.held) {
+    bytes += place_bytes(h);
+    put(h);
+  }
+  for (const auto& [j, c] : sheet.done) {
+    bytes += done_bytes(j, c);
+    put_done(j, c);
+  }
+  const std::string key = state::sheet_key(shard_, index);
+  bool added = false;
+  std::size_t taken = 0;
+  for (; taken < starts.size(); ++taken) {
+    const Held& h = starts[taken];
+    std::size_t more = place_bytes(h);
+    if (bytes + more > limit) break;
+    std::string jk = state::job_key(h.job->spec.id);
+    bool guarded =
+        std::any_of(t.guards.begin(), t.guards.end(), [&](const auto& g) { return g.first == jk; });
+    if (!guarded) {
+      if (t.guards.size() + 2 > max_guards) break;
+      t.guards.emplace_back(jk, w.stamp(jk));
+    }
+    bytes += more;
+    put(h);
+    write.starts.push_back(h);
+    added = true;
+  }
+  starts.erase(starts.begin(), starts.begin() + static_cast<long>(taken));
+  std::erase_if(dirty, [&](const auto& d) {
+    auto at_sheet = d.first->done_sheet.find(d.second);
+    // Written just now, with what the sheet held already.
+    bool here = at_sheet != d.first->done_sheet.end() && at_sheet->second == index;
+    if (!here) {
+      std::size_t more = done_bytes(d.first, d.second);
+      if (bytes + more > limit) return false;
+      bytes += more;
+      put_done(d.first, d.second);
+    }
+    added = true;
+    return true;
+  });
+  if (!added) return false;
+  t.guards.emplace_back(key, w.stamp(key));
+  t.ops.push_back(
+      {key,
+       wire::encode_record(
+           r, [&](int team) { return team >= 0 ? settings_.teams[team].name : std::string("-"); }),
+       0});
+  for (const Held& h : write.starts) placement(h)->phase = Phase::committing;
+  out.writes.push_back(std::move(write));
+  return true;
+}
+
+std::optional<wire::Txn> Desk::next_txn(const state::World& w, const std::string& tag, double now) {
+  if (out_) return std::nullopt;
+  wire::Txn t;
+  Out out;
+  const std::size_t ops = static_cast<std::size_t>(settings_.txn_ops);
   // Every key written is guarded by its own stamp, so that a transaction that is applied late,
   // or a second time, cannot be: and by the owner's, so that nobody else's is overwritten.
-  guard(state::owner_key(shard_), token_);
+  t.guards.emplace_back(state::owner_key(shard_), token_);
 
+  std::vector<std::pair<JobPtr, std::uint32_t>> dirty;
+  bool due = false;
   for (auto& [id, j] : jobs_) {
-    if (t.ops.size() + 2 > ops || t.guards.size() + 4 > max_guards) break;
     if (!w.job(id)) continue;
-    const std::string jk = state::job_key(id);
     if (j->complete()) {
-      std::uint32_t chunks = (j->spec.tasks + jobs::kChunk - 1) / jobs::kChunk;
-      std::size_t need = 2;
-      // The chunks of a large job are left behind; they are small and harm nobody.
-      bool sweep = chunks <= 4;
-      if (sweep) need += w.done(id).size();
-      if (t.ops.size() + need > ops && !t.ops.empty()) continue;
+      if (out.finals.size() >= kFinalsPerTxn || t.ops.size() + 3 > ops) continue;
       wire::FinalRecord f;
       f.tasks = j->spec.tasks;
       f.team = j->spec.team;
       f.tag = tag;
-      guard(jk, w.stamp(jk));
-      guard(state::final_key(id), 0);
+      const std::string jk = state::job_key(id);
+      t.guards.emplace_back(jk, w.stamp(jk));
+      t.guards.emplace_back(state::final_key(id), 0);
       t.ops.push_back({jk, std::nullopt, 0});
       t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
-      if (sweep)
-        for (const auto& [c, list] : w.done(id)) {
-          guard(state::done_key(id, c), w.stamp(state::done_key(id, c)));
-          t.ops.push_back({state::done_key(id, c), std::nullopt, 0});
-        }
       out.finals.push_back(id);
       continue;
     }
-    for (std::uint32_t c : j->dirty_chunks) {
-      if (t.ops.size() + 1 > ops) break;
-      std::string dk = state::done_key(id, c);
-      guard(jk, w.stamp(jk));
-      guard(dk, w.stamp(dk));
-      auto bits = j->chunk(c);
-      t.ops.push_back({dk, wire::encode_done(bits), 0});
-      out.chunks.emplace_back(id, c, std::move(bits));
-    }
+    if (j->dirty_chunks.empty()) continue;
+    due |= now - j->dirty_since > kDoneWait;
+    for (std::uint32_t c : j->dirty_chunks) dirty.emplace_back(j, c);
   }
-  // Starts: the machine's whole record is written, so a machine's starts coalesce.
+  std::vector<Held> starts;
   for (auto& [n, m] : machines_) {
-    if (t.ops.size() + 1 > ops) break;
-    if (m->name.empty()) continue;
-    std::vector<std::uint64_t> starts;
-    for (Placement& p : m->placements)
+    if (!m->rostered) continue;
+    for (const Placement& p : m->placements)
       if (p.phase == Phase::planned && !p.released && !p.job->gone && w.job(p.job->spec.id))
-        starts.push_back(p.attempt);
-    bool give = m->giving >= 0 && m->placements.empty();
-    if (starts.empty() && !m->record_dirty && !give) continue;
-    std::set<std::string> start_jobs;
-    for (Placement& p : m->placements)
-      if (p.phase == Phase::planned) start_jobs.insert(p.job->spec.id);
-    if (t.guards.size() + start_jobs.size() + 1 > max_guards) continue;
-    wire::MachineRecord r;
-    r.name = m->name;
-    r.addr = m->addr;
-    r.type = catalogue_.types[m->type].spec.name;
-    r.zone = settings_.zones[m->zone];
-    r.spot = m->spot;
-    r.shard = give ? m->giving : shard_;
-    r.token = token_;
-    r.tag = tag;
-    if (give) out.given.push_back(n);
-    for (Placement& p : m->placements) {
-      if (p.released) continue;
-      if (p.phase == Phase::planned) {
-        const std::string& id = p.job->spec.id;
-        if (p.job->gone || !w.job(id)) continue;
-        guard(state::job_key(id), w.stamp(state::job_key(id)));
-        p.phase = Phase::committing;
-      }
-      r.placements.push_back({{p.job->spec.id, p.task},
-                              p.attempt,
-                              p.job->team,
-                              p.job->spec.cpus,
-                              p.job->spec.gpus,
-                              p.job->spec.mem_gb});
-    }
-    std::string mk = state::machine_key(m->name);
-    guard(mk, w.stamp(mk));
-    t.ops.push_back({mk,
-                     wire::encode_record(r,
-                                         [&](int team) {
-                                           return team >= 0 ? settings_.teams[team].name
-                                                            : std::string("-");
-                                         }),
-                     0});
-    m->record_dirty = false;
-    out.starts.emplace_back(n, std::move(starts));
-    out.records.push_back(n);
-  }
-  for (const auto& name : dropped_records_) {
-    if (t.ops.size() + 1 > ops || t.guards.size() + 1 > max_guards) break;
-    std::string mk = state::machine_key(name);
-    out.drops.push_back(name);
-    if (!w.stamp(mk)) continue;
-    guard(mk, w.stamp(mk));
-    t.ops.push_back({mk, std::nullopt, 0});
+        starts.push_back({n, p.job, p.task, p.attempt});
   }
-  if (t.ops.empty()) {
-    std::erase_if(dropped_records_, [&](const std::string& n) {
-      return std::find(out.drops.begin(), out.drops.end(), n) != out.drops.end();
-    });
-    return std::nullopt;
+  std::stable_sort(starts.begin(), starts.end(), [](const Held& a, const Held& b) {
+    return a.job->spec.priority < b.job->spec.priority;
+  });
+  if (!starts.empty() || due) {
+    // The emptiest sheets first.
+    std::vector<std::size_t> order(sheets_.size());
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+    auto load = [&](std::size_t i) { return sheets_[i].held.size() + 4 * sheets_[i].done.size(); };
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t a, std::size_t b) { return load(a) < load(b); });
+    std::size_t used = 0;
+    for (std::size_t i : order) {
+      if (used >= kSheetsPerTxn || t.ops.size() >= ops || (starts.empty() && dirty.empty())) break;
+      used += fill_sheet(static_cast<int>(i), w, starts, dirty, tag, t, out);
+    }
   }
+  if (t.ops.empty()) return std::nullopt;
   ++count_.commits;
   out_ = std::move(out);
   return t;
@@ -137,20 +200,23 @@
   if (!out_) return;
   Out out = std::move(*out_);
   out_.reset();
-  for (auto& [n, attempts] : out.starts)
-    if (Machine* m = at(n))
-      for (Placement& p : m->placements)
-        if (p.phase == Phase::committing) p.phase = Phase::committed;
-  for (auto& [id, c, bits] : out.chunks)
-    if (auto j = jobs_.find(id); j != jobs_.end()) j->second->set_persisted(c, bits);
-  for (const auto& id : out.finals) job_gone(id, now);
-  for (int n : out.given) {
-    ++count_.given;
-    remove_machine(n, now);
+  for (auto& write : out.writes) {
+    Sheet& sheet = sheets_[static_cast<std::size_t>(write.sheet)];
+    for (const Held& h : write.starts) {
+      sheet.held.push_back(h);
+      if (Placement* p = placement(h); p && p->phase == Phase::committing)
+        p->phase = Phase::committed;
+    }
+    for (auto& [j, c, bits] : write.done) {
+      j->set_persisted(c, bits);
+      j->dirty_since = now;
+      auto [it, fresh] = j->done_sheet.try_emplace(c, write.sheet);
+      if (!fresh && it->second == write.sheet) continue;
+      it->second = write.sheet;
+      sheet.done.emplace_back(j, c);
+    }
   }
-  std::erase_if(dropped_records_, [&](const std::string& n) {
-    return std::find(out.drops.begin(), out.drops.end(), n) != out.drops.end();
-  });
+  for (const auto& id : out.finals) job_gone(id, now);
 }
 
 void Desk::txn_failed(double now) {
@@ -158,19 +224,17 @@
   ++count_.commit_failures;
   Out out = std::move(*out_);
   out_.reset();
-  for (int n : out.records) {
-    Machine* m = at(n);
-    if (!m) continue;
-    m->record_dirty = true;
-    for (Placement& p : m->placements)
-      if (p.phase == Phase::committing) {
-        p.phase = Phase::planned;
-        if (p.job->gone) release(*m, p, now, false);
-      }
-    std::erase_if(m->placements,
-                  [](const Placement& p) { return p.phase == Phase::planned && p.released; });
-    note_idle(*m, now);
-  }
+  for (const auto& write : out.writes)
+    for (const Held& h : write.starts) {
+      Placement* p = placement(h);
+      if (!p || p->phase != Phase::committing) continue;
+      p->phase = Phase::planned;
+      if (!p->job->gone) continue;
+      Machine* m = at(h.machine);
+      release(*m, *p, now, false);
+      std::erase_if(m->placements,
+                    [](const Placement& q) { return q.phase == Phase::planned && q.released; });
+    }
 }
 
 }  // namespace shunt::fleet
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -14,6 +14,7 @@
 using wire::Why;
 
 namespace {
+constexpr std::size_t kSheets = 48;  // of a shard: room for every placement a full fleet holds
 // Time to save for what can.
 double stop_grace(const Job& j) { return j.spec.checkpoint_s > 0 ? j.spec.save_s + 1 : 0; }
 const double kPriorityWeight[wire::kPriorities] = {8, 4, 1, 0.5};
@@ -62,6 +63,7 @@
       next_attempt_(token << 20),
       team_used_(s.teams.size()),
       team_waiting_(s.teams.size()),
+      sheets_(kSheets),
       last_heard_(now) {}
 
 Desk::Machine* Desk::find(const std::string& name) {
@@ -83,7 +85,7 @@
 Amount Desk::room(const Machine& m) const {
   return m.type < 0 ? Amount{} : catalogue_.types[m.type].room - m.used;
 }
-bool Desk::warm(const Machine& m, const std::string& image) const {
+bool Desk::warm(const Machine& m, int image) {
   return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
 }
 bool Desk::type_ok(const Job& j, int type, bool spot) const {
@@ -117,8 +119,10 @@
   auto cls = classes_.try_emplace(r.spec.cls, static_cast<int>(classes_.size())).first->second;
   auto j =
       std::make_shared<Job>(r, team, cls, static_cast<int>(settings_.zones.size()), now, wall_now);
+  j->image = images_.try_emplace(r.spec.image, static_cast<int>(images_.size())).first->second;
   for (const auto& [c, list] : done) j->load_done(c, list);
   jobs_[r.spec.id] = j;
+  stirred_ = true;
 }
 
 void Desk::job_gone(const std::string& id, double now) {
@@ -131,7 +135,7 @@
   for (auto& [n, m] : machines_) {
     auto mine = [&](const Item& i) { return i.job == j; };
     for (const Item& i : m->waiting)
-      if (mine(i)) team_waiting_[j->team] -= j->need;
+      if (mine(i)) listed(*m, i, false);
     std::erase_if(m->waiting, mine);
     for (Placement& p : m->placements)
       if (p.job == j && p.phase == Phase::planned) release(*m, p, now, false);
@@ -139,18 +143,34 @@
                   [&](const Placement& p) { return p.job == j && p.phase == Phase::planned; });
     note_idle(*m, now);
   }
+  stirred_ = true;
 }
 
 void Desk::requeue(const JobPtr& j, std::uint32_t task) {
   if (j->gone || j->done(task) || task >= j->spec.tasks) return;
   if (j->places[task] == 0) j->pending.insert(task);
+  stirred_ = true;
+}
+void Desk::listed(Machine& m, const Item& i, bool yes) {
+  const Job& j = *i.job;
+  if (yes) {
+    team_waiting_[j.team] += j.need;
+    waiting_[i.key()] = m.number;
+    ++m.listed[static_cast<int>(j.spec.priority)];
+    ++i.job->listed;
+  } else {
+    team_waiting_[j.team] -= j.need;
+    waiting_.erase(i.key());
+    --m.listed[static_cast<int>(j.spec.priority)];
+    --i.job->listed;
+  }
 }
-void Desk::to_pending(const Item& i) {
-  team_waiting_[i.job->team] -= i.job->need;
-  requeue(i.job, i.task);
-}
+void Desk::to_pending(const Item& i) { requeue(i.job, i.task); }
 void Desk::empty_list(Machine& m) {
-  for (const Item& i : m.waiting) to_pending(i);
+  for (const Item& i : m.waiting) {
+    listed(m, i, false);
+    to_pending(i);
+  }
   m.waiting.clear();
 }
 
@@ -178,6 +198,7 @@
   }
   if (again) requeue(p.job, p.task);
   note_idle(m, now);
+  stirred_ = true;
 }
 
 void Desk::note_idle(Machine& m, double now) {
@@ -187,53 +208,77 @@
 }
 
 void Desk::machine_known(const wire::MachineRecord& r, double now) {
-  if (by_name_.contains(r.name)) return;
+  if (Machine* known = find(r.name)) {
+    known->rostered = true;
+    return;
+  }
   int type = catalogue_.type_index(r.type), zone = settings_.zone_index(r.zone);
   Machine& m = add_machine();
   m.name = r.name;
-  m.addr = r.addr;
   m.type = type;
   m.zone = zone;
   m.spot = r.spot;
+  m.rostered = true;
   m.state = Machine::booting;
   m.rented_at = m.last_report = m.last_answer = now;
   by_name_[r.name] = m.number;
   // It has come from a shard whose token was higher: its worker would drop our answers.
   if (r.token > token_) outranked_ = true;
-  m.greet = !r.placements.empty();
   // A type or zone that is not known any more: its tasks are let go of, then it is returned.
   if (type < 0 || zone < 0) m.leaving = true;
-  for (const auto& pr : r.placements) {
-    Placement p;
-    auto it = jobs_.find(pr.task.job);
-    if (it != jobs_.end()) {
-      p.job = it->second;
+}
+void Desk::machine_addr(const std::string& name, const std::string& addr) {
+  if (Machine* m = find(name)) m->addr = addr;
+}
+
+void Desk::inherit(int sheet, const wire::SheetRecord& r, double now) {
+  if (sheet < 0) return;
+  if (static_cast<std::size_t>(sheet) >= sheets_.size())
+    sheets_.resize(static_cast<std::size_t>(sheet) + 1);
+  Sheet& mine = sheets_[static_cast<std::size_t>(sheet)];
+  for (const auto& g : r.jobs) {
+    JobPtr j;
+    if (auto it = jobs_.find(g.job); it != jobs_.end()) {
+      j = it->second;
+      for (const auto& [c, list] : g.done) {
+        mine.done.emplace_back(j, c);
+        j->done_sheet[c] = sheet;
+      }
     } else {
-      // The job is over, but its task may still be there: it counts until proven gone.
+      // The job is over, but its tasks may still be there: they count until proven gone.
       wire::JobRecord stub;
-      stub.spec.id = pr.task.job;
+      stub.spec.id = g.job;
       stub.spec.tasks = 1;
-      stub.spec.cpus = pr.cpus;
-      stub.spec.gpus = pr.gpus;
-      stub.spec.mem_gb = pr.mem_gb;
-      p.job =
-          std::make_shared<Job>(stub, pr.team, 0, static_cast<int>(settings_.zones.size()), now, 0);
-      p.job->gone = true;
-      p.job->pending.clear();
+      stub.spec.cpus = g.cpus;
+      stub.spec.gpus = g.gpus;
+      stub.spec.mem_gb = g.mem_gb;
+      j = std::make_shared<Job>(stub, g.team, 0, static_cast<int>(settings_.zones.size()), now, 0);
+      j->gone = true;
+      j->pending.clear();
     }
-    p.task = pr.task.index;
-    p.attempt = pr.attempt;
-    p.phase = Phase::committed;
-    p.inherited = true;
-    p.item.job = p.job;
-    p.item.task = p.task;
-    p.item.since = now;
-    hold(m, p);
-    if (p.job->spec.gang) {
-      p.job->round = p.attempt;
-      for (std::uint32_t i = 0; i < p.job->spec.tasks; ++i) p.job->in_round.insert(i);
+    for (const auto& at : g.places) {
+      // A machine that the roster does not hold under this shard has been deleted, or was empty
+      // when it moved away: nothing of ours can be on it.
+      Machine* m = find(at.machine);
+      if (!m) continue;
+      Placement p;
+      p.job = j;
+      p.task = at.task;
+      p.attempt = at.attempt;
+      p.phase = Phase::committed;
+      p.inherited = true;
+      p.item.job = p.job;
+      p.item.task = p.task;
+      p.item.since = now;
+      hold(*m, p);
+      if (p.job->spec.gang) {
+        p.job->round = p.attempt;
+        for (std::uint32_t i = 0; i < p.job->spec.tasks; ++i) p.job->in_round.insert(i);
+      }
+      mine.held.push_back({m->number, p.job, p.task, p.attempt});
+      m->greet = true;
+      m->placements.push_back(std::move(p));
     }
-    m.placements.push_back(std::move(p));
   }
 }
 
@@ -253,17 +298,40 @@
   Machine* m = find(name);
   if (!m) return;
   remove_machine(m->number, now);
-  dropped_records_.push_back(name);
+  dropped_.push_back(name);
+}
+void Desk::machine_moved(const std::string& name, double now) {
+  Machine* m = find(name);
+  if (!m) return;
+  if (m->giving >= 0) ++count_.given;
+  remove_machine(m->number, now);
+}
+std::vector<RosterWish> Desk::roster_wishes() {
+  std::vector<RosterWish> out;
+  for (const auto& [n, m] : machines_) {
+    if (m->name.empty() || m->type < 0 || m->zone < 0) continue;
+    bool give = m->giving >= 0 && m->rostered && m->placements.empty() && m->waiting.empty();
+    if (m->rostered && !give) continue;
+    out.push_back({give ? RosterWish::give : RosterWish::add,
+                   {m->name, catalogue_.types[m->type].spec.name, settings_.zones[m->zone], m->spot,
+                    give ? m->giving : shard_, token_}});
+  }
+  for (const auto& name : dropped_) out.push_back({RosterWish::drop, {name, {}, {}, false, 0, 0}});
+  dropped_.clear();
+  return out;
 }
 
-void Desk::task_done(const JobPtr& j, std::uint32_t task) {
-  if (j->gone || !j->mark_done(task)) return;
+void Desk::task_done(const JobPtr& j, std::uint32_t task, double now) {
+  if (j->gone || j->done(task)) return;
+  if (j->dirty_chunks.empty()) j->dirty_since = now;
+  if (!j->mark_done(task)) return;
   ++count_.dones;
   // It may wait somewhere for another try.
+  if (!j->listed) return;
   for (auto& [n, m] : machines_)
     std::erase_if(m->waiting, [&](const Item& i) {
       if (i.job != j || i.task != task) return false;
-      team_waiting_[j->team] -= j->need;
+      listed(*m, i, false);
       return true;
     });
 }
@@ -291,7 +359,7 @@
 void Desk::exited(Machine& m, Placement& p, double now) {
   switch (p.why) {
     case Why::done:
-      if (p.task < p.job->spec.tasks) task_done(p.job, p.task);
+      if (p.task < p.job->spec.tasks) task_done(p.job, p.task, now);
       if (p.job->gone || m.type < 0) break;
       record_cost(p, m, now);
       m.faults = 0;
@@ -351,6 +419,7 @@
   if (m->state != Machine::up) {
     m->state = Machine::up;
     m->idle_since = now;
+    stirred_ = true;
   }
   m->notice_s = r.notice_s;
   if (r.notice_s && !m->draining) {
@@ -372,7 +441,8 @@
       // A result is a result, whoever started it: an earlier owner may have gone before it
       // could persist this.
       if (t.state == RunState::exited && t.why == Why::done)
-        if (auto j = jobs_.find(t.task.job); j != jobs_.end()) task_done(j->second, t.task.index);
+        if (auto j = jobs_.find(t.task.job); j != jobs_.end())
+          task_done(j->second, t.task.index, now);
       continue;
     }
     here[i] = true;
@@ -384,8 +454,8 @@
       if (t.state == RunState::running && p.started == 0) p.started = now;
       if (t.state == RunState::exited && !p.released) exited(*m, p, now);
     }
-    if (t.state != RunState::exited && !warm(*m, p.job->spec.image) && !p.job->gone) {
-      m->images.push_back(p.job->spec.image);
+    if (t.state != RunState::exited && !p.job->gone && !warm(*m, p.job->image)) {
+      m->images.push_back(p.job->image);
       if (m->images.size() > 8) m->images.erase(m->images.begin());
     }
   }
@@ -421,7 +491,6 @@
   plan(*m, now);
   preempt(*m, now);
   pull_waiting(*m, now);
-  admit(now);
   return Heard::fresh;
 }
 
@@ -558,11 +627,8 @@
   auto it = by_name_.find(name);
   if (it == by_name_.end()) return false;
   const Machine& m = *machines_.at(it->second);
-  for (const Placement& p : m.placements) {
-    if (p.phase != Phase::committed) return true;
-    if (p.released && p.why == Why::done && !p.job->gone && !p.job->persisted(p.task)) return true;
-  }
-  return false;
+  return std::any_of(m.placements.begin(), m.placements.end(),
+                     [](const Placement& p) { return p.phase != Phase::committed; });
 }
 
 std::string Desk::summary() const {
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -2,6 +2,7 @@
 // node owns it under one token. Pure: time, random numbers, messages and commit results are
 // handed in, and what is to be sent is handed out.
 #pragma once
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,6 +55,12 @@
   std::vector<int> machines;  // ordered machines, by number
 };
 
+// A change of the roster that the desk asks for.
+struct RosterWish {
+  enum Kind { add, give, drop } kind = add;
+  wire::MachineRecord machine;
+};
+
 class Desk {
  public:
   Desk(const config::Settings& s, const config::Tuning& t, const Catalogue& c, int shard,
@@ -70,7 +77,13 @@
                  double wall_now);
   void job_gone(const std::string& id, double now);
   void machine_known(const wire::MachineRecord& r, double now);
+  // A sheet of the shard as the takeover found it: all its placements may exist.
+  void inherit(int sheet, const wire::SheetRecord& r, double now);
+  // The machine is proven deleted (the roster holds it no more), or belongs to another shard.
   void machine_gone(const std::string& name, double now);
+  void machine_moved(const std::string& name, double now);
+  void machine_addr(const std::string& name, const std::string& addr);
+  std::vector<RosterWish> roster_wishes();
   bool has_machine(const std::string& name) const { return by_name_.contains(name); }
 
   // A worker's report. The body of an answer to direct orders is one too, but proves no absence:
@@ -94,12 +107,16 @@
   void raise(std::uint64_t token, double now);
 
   // Group commit: at most one transaction is out at a time.
-  std::optional<wire::Txn> next_txn(const state::World& w, int max_ops, const std::string& tag);
+  std::optional<wire::Txn> next_txn(const state::World& w, const std::string& tag, double now);
   void txn_applied(double now);
   void txn_failed(double now);
   bool txn_out() const { return out_.has_value(); }
 
   void tick(double now);
+  // What became possible since the last turn: waiting work enters the chain. Reports only note
+  // that there is something to do, so that a thousand of them cost one turn.
+  bool stirred() const { return stirred_; }
+  void turn(double now);
   // Machines to rent, grouped; each is handed out once and answered by rented/refused.
   std::vector<RentWish> rent_wishes(double now);
   void rented(const RentWish& w, const std::vector<std::string>& names, double now);
@@ -127,9 +144,8 @@
     std::uint64_t order = 0;
     std::vector<chain::Step> trail;
     bool rented = false;
-    static bool before(const Item& a, const Item& b) {
-      return std::pair(a.job->spec.priority, a.order) < std::pair(b.job->spec.priority, b.order);
-    }
+    std::pair<wire::Priority, std::uint64_t> key() const { return {job->spec.priority, order}; }
+    static bool before(const Item& a, const Item& b) { return a.key() < b.key(); }
   };
   enum class Phase : std::uint8_t { planned, committing, committed };
   struct Placement {
@@ -158,8 +174,9 @@
     int type = -1, zone = -1;
     bool spot = false;
     enum State { ordered, booting, up } state = ordered;
-    bool posted = false;   // ordered: the request is out
-    bool leaving = false;  // to be given back: nothing starts here any more
+    bool posted = false;    // ordered: the request is out
+    bool rostered = false;  // the roster holds it: only then may anything be placed on it
+    bool leaving = false;   // to be given back: nothing starts here any more
     bool returning = false;
     int giving = -1;        // the shard that it goes to once it is empty
     bool draining = false;  // spot notice
@@ -177,29 +194,46 @@
     int faults = 0;
     double avoid_until = 0;
     jobs::Amount used;
-    bool record_dirty = false;
     std::vector<Placement> placements;
     std::vector<Item> waiting;
     std::vector<wire::TaskReport> strangers;  // reported, but no placement of ours
-    std::vector<std::string> images;
+    std::vector<int> images;
+    std::array<std::uint16_t, wire::kPriorities> listed{};  // waiting, by priority
     int tier() const { return 2 * type + (spot ? 1 : 0); }
   };
   using MachinePtr = std::unique_ptr<Machine>;
+  using JobPtr = jobs::JobPtr;
+  // What a sheet holds as far as it still matters.
+  struct Held {
+    int machine = 0;
+    JobPtr job;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+  };
+  struct Sheet {
+    std::vector<Held> held;
+    std::vector<std::pair<JobPtr, std::uint32_t>> done;  // job and chunk
+  };
   struct Out {
-    std::vector<std::pair<int, std::vector<std::uint64_t>>> starts;  // machine, attempts
-    std::vector<int> records;
-    std::vector<std::tuple<std::string, std::uint32_t, std::vector<bool>>> chunks;
+    struct Write {
+      int sheet = 0;
+      std::vector<Held> starts;
+      std::vector<std::tuple<JobPtr, std::uint32_t, std::vector<bool>>> done;
+    };
+    std::vector<Write> writes;
     std::vector<std::string> finals;
-    std::vector<std::string> drops;
-    std::vector<int> given;
   };
+  Placement* placement(const Held& h);
+  bool fill_sheet(int sheet, const state::World& w, std::vector<Held>& starts,
+                  std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
+                  wire::Txn& t, Out& out);
 
   Machine* find(const std::string& name);
   Machine* at(int number);
   Machine& add_machine();
   void remove_machine(int number, double now);
   jobs::Amount room(const Machine& m) const;
-  bool warm(const Machine& m, const std::string& image) const;
+  static bool warm(const Machine& m, int image);
   bool type_ok(const jobs::Job& j, int type, bool spot) const;
   bool usable(const Machine& m, const jobs::Job& j, double now) const;
   bool quota_ok(const jobs::Job& j, bool with_waiting) const;
@@ -207,12 +241,11 @@
   void hold(Machine& m, const Placement& p);
   void release(Machine& m, Placement& p, double now, bool requeue);
   void requeue(const jobs::JobPtr& j, std::uint32_t task);
-  void task_done(const jobs::JobPtr& j, std::uint32_t task);
+  void task_done(const jobs::JobPtr& j, std::uint32_t task, double now);
   void exited(Machine& m, Placement& p, double now);
   void record_cost(const Placement& p, const Machine& m, double now);
 
   void admit(double now);
-  static void bound(std::vector<chain::Tier>& tiers);
   bool enter(Item item, double now);  // false: stalled
   void join(Machine& m, Item item);
   void plan(Machine& m, double now);
@@ -220,6 +253,7 @@
   void pull_waiting(Machine& m, double now);
   void empty_list(Machine& m);  // its waiting tasks go back to pending
   void to_pending(const Item& i);
+  void listed(Machine& m, const Item& i, bool yes);  // keeps the counts of waiting tasks
   int pick_zone(const jobs::Job& j, int tier, double now) const;
   void note_idle(Machine& m, double now);
   static bool settled(const Machine& m, const Placement& p) {
@@ -243,12 +277,17 @@
   std::map<std::string, jobs::JobPtr> jobs_;
   std::unordered_map<std::string, int> classes_;
   std::vector<jobs::Amount> team_used_, team_waiting_;
-  std::map<std::pair<int, int>, double> refused_until_;       // tier, zone
-  std::set<std::pair<int, int>> asking_;                      // tier, zone: a rent is out
-  std::map<int, chain::IdleWait> idle_;                       // by tier
-  std::map<int, std::shared_ptr<chain::Bandit>> experience_;  // by tier
-  std::map<int, double> last_returned_;  // by tier: when a returned one went idle
-  std::vector<std::string> dropped_records_;
+  std::map<std::pair<int, int>, double> refused_until_;  // tier, zone
+  std::set<std::pair<int, int>> asking_;                 // tier, zone: a rent is out
+  std::map<int, chain::IdleWait> idle_;                  // by tier
+  std::map<int, chain::Bandit> experience_;              // by tier
+  std::map<int, double> last_returned_;                  // by tier: when a returned one went idle
+  std::vector<std::string> dropped_;                     // deleted: to leave the roster
+  std::unordered_map<std::string, int> images_;
+  // Every waiting task, the more urgent and then the older first, and the machine it waits on.
+  std::map<std::pair<wire::Priority, std::uint64_t>, int> waiting_;
+  std::vector<Sheet> sheets_;
+  bool stirred_ = true;
   std::optional<Out> out_;
   double last_heard_ = 0;
   Counters count_;
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -70,7 +70,6 @@
     }
   }
   for (int n : withdrawn) remove_machine(n, now);
-  admit(now);
   bool rentable = false;
   for (int tier : catalogue_.tier_order)
     for (std::size_t z = 0; z < settings_.zones.size(); ++z) {
@@ -171,11 +170,11 @@
     m->name = names[i];
     m->state = Machine::booting;
     m->rented_at = m->last_report = m->last_answer = now;
-    m->record_dirty = true;
     by_name_[m->name] = m->number;
     ++count_.rents;
   }
   if (i < w.machines.size()) refused(w, i, true, now);
+  stirred_ = true;
 }
 
 void Desk::refused(const RentWish& w, std::size_t from, bool no_capacity, double now) {
@@ -185,7 +184,7 @@
     ++count_.refused;
     remove_machine(w.machines[i], now);
   }
-  admit(now);
+  stirred_ = true;
 }
 
 std::vector<std::string> Desk::returns() {
--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -1,6 +1,8 @@
 // Waiting and walking: how tasks enter the chain, wait on machines' lists, and are planned.
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <tuple>
 
 #include "fleet/desk.h"
 
@@ -14,6 +16,7 @@
 namespace {
 constexpr double kLittleWork = 8;  // what cannot save is stopped only before it has done more
 constexpr std::size_t kWalksPerTurn = 400;
+constexpr std::size_t kPullsPerReport = 32;
 }  // namespace
 
 int Desk::pick_zone(const Job& j, int tier, double now) const {
@@ -34,7 +37,7 @@
 }
 
 void Desk::join(Machine& m, Item item) {
-  team_waiting_[item.job->team] += item.job->need;
+  listed(m, item, true);
   m.waiting.insert(std::upper_bound(m.waiting.begin(), m.waiting.end(), item, Item::before),
                    std::move(item));
   note_idle(m, 0);
@@ -42,66 +45,58 @@
 
 // While some machine of the chain has room for the task, it neither waits nor rents (the strategy
 // space is bounded, paper 3.3): arms that only lead there are barred, the others stay learned.
-void Desk::bound(std::vector<chain::Tier>& tiers) {
-  auto has_room = [](const chain::Seat& s) { return s.may_accept && s.context.waiting == 0; };
-  auto any = [&](const chain::Tier& t) {
-    return std::any_of(t.seats.begin(), t.seats.end(), has_room);
-  };
-  if (std::none_of(tiers.begin(), tiers.end(), any)) return;
-  std::erase_if(tiers, [&](const chain::Tier& t) { return !any(t); });
-  for (chain::Tier& t : tiers) {
-    t.end = {};
-    std::erase_if(t.seats, [&](const chain::Seat& s) { return !has_room(s); });
-  }
-}
-
 bool Desk::enter(Item item, double now) {
   const Job& j = *item.job;
+  const int urgency = static_cast<int>(j.spec.priority);
   std::vector<chain::Tier> tiers;
-  for (int id : catalogue_.tier_order) {
-    if (!type_ok(j, id / 2, id % 2)) continue;
-    chain::Tier t;
-    t.id = id;
-    const Amount full = catalogue_.types[id / 2].room;
-    // The machines of a tier share what they have learned: a machine lives for minutes, and left
-    // to itself would spend them trying each arm in each context.
-    auto& experience = experience_[id];
-    if (!experience) experience = std::make_shared<chain::Bandit>(tuning_.ring);
-    double share = 0;
-    if (full.cpus > 0) share = static_cast<double>(j.need.cpus) / static_cast<double>(full.cpus);
-    if (full.mem > 0)
-      share = std::max(share, static_cast<double>(j.need.mem) / static_cast<double>(full.mem));
-    for (auto& [n, m] : machines_) {
-      if (m->tier() != id || !usable(*m, j, now)) continue;
-      if (m->state == Machine::up) {
-        bool has_room = j.need.fits(room(*m));
-        chain::Seat s;
-        s.machine = n;
-        s.learner = experience;
-        s.context.cls = static_cast<std::uint16_t>(j.cls);
-        s.context.size = chain::size_bucket(share);
-        // Accept is split by priority (paper 3.1, query scheduling): a task joins the list of its
-        // job's priority, and only what is ahead of it there counts.
-        auto ahead = static_cast<std::size_t>(
-            std::count_if(m->waiting.begin(), m->waiting.end(),
-                          [&](const Item& w) { return w.job->spec.priority <= j.spec.priority; }));
-        s.context.waiting = chain::waiting_bucket(has_room, ahead);
-        s.context.warm = warm(*m, j.spec.image);
-        s.may_accept = static_cast<int>(ahead) <= tuning_.waiting_bar;
-        s.empty = m->placements.empty() && m->waiting.empty();
-        t.seats.push_back(std::move(s));
-      } else if (t.end.kind == chain::TierEnd::none) {
-        // A pending rent takes what fits its whole room.
-        Amount taken = m->used;
-        for (const Item& i : m->waiting) taken += i.job->need;
-        if (j.need.fits(full - taken)) t.end = {chain::TierEnd::join, n};
+  // Two looks: at machines with room first, since they bar all else; then at every machine.
+  for (bool room_only : {true, false}) {
+    for (int id : catalogue_.tier_order) {
+      if (!type_ok(j, id / 2, id % 2)) continue;
+      chain::Tier t;
+      t.id = id;
+      const Amount full = catalogue_.types[id / 2].room;
+      // The machines of a tier share what they have learned: a machine lives for minutes, and left
+      // to itself would spend them trying each arm in each context.
+      chain::Bandit* experience = &experience_.try_emplace(id, tuning_.ring).first->second;
+      double share = 0;
+      if (full.cpus > 0) share = static_cast<double>(j.need.cpus) / static_cast<double>(full.cpus);
+      if (full.mem > 0)
+        share = std::max(share, static_cast<double>(j.need.mem) / static_cast<double>(full.mem));
+      const std::uint8_t size = chain::size_bucket(share);
+      for (auto& [n, m] : machines_) {
+        if (m->tier() != id) continue;
+        if (m->state == Machine::up) {
+          // Accept is split by priority (paper 3.1, query scheduling): a task joins the list of its
+          // job's priority, and only what is ahead of it there counts.
+          std::size_t ahead = 0;
+          for (int k = 0; k <= urgency; ++k) ahead += m->listed[static_cast<std::size_t>(k)];
+          bool has_room = j.need.fits(room(*m));
+          if (room_only && (!has_room || ahead)) continue;
+          if (!usable(*m, j, now)) continue;
+          chain::Seat s;
+          s.machine = n;
+          s.learner = experience;
+          s.context.cls = static_cast<std::uint16_t>(j.cls);
+          s.context.size = size;
+          s.context.waiting = chain::waiting_bucket(has_room, ahead);
+          s.context.warm = warm(*m, j.image);
+          s.may_accept = static_cast<int>(ahead) <= tuning_.waiting_bar;
+          s.empty = m->placements.empty() && m->waiting.empty();
+          t.seats.push_back(std::move(s));
+        } else if (!room_only && t.end.kind == chain::TierEnd::none && usable(*m, j, now)) {
+          // A pending rent takes what fits its whole room.
+          Amount taken = m->used;
+          for (const Item& i : m->waiting) taken += i.job->need;
+          if (j.need.fits(full - taken)) t.end = {chain::TierEnd::join, n};
+        }
       }
+      if (!room_only && t.end.kind == chain::TierEnd::none && pick_zone(j, id, now) >= 0)
+        t.end = {chain::TierEnd::rent, 0};
+      if (!t.seats.empty() || t.end.kind != chain::TierEnd::none) tiers.push_back(std::move(t));
     }
-    if (t.end.kind == chain::TierEnd::none && pick_zone(j, id, now) >= 0)
-      t.end = {chain::TierEnd::rent, 0};
-    if (!t.seats.empty() || t.end.kind != chain::TierEnd::none) tiers.push_back(std::move(t));
+    if (!tiers.empty()) break;
   }
-  bound(tiers);
   chain::Outcome o = chain::walk(tiers, rng_);
   item.trail = std::move(o.trail);
   switch (o.kind) {
@@ -149,7 +144,13 @@
     return a->since < b->since;
   });
   std::size_t walks = 0;
+  // What found no place this turn: another job of the same shape finds none either.
+  using Shape = std::tuple<std::int64_t, std::int64_t, std::int64_t, int, bool, wire::Priority>;
+  std::set<Shape> stalled;
   for (const JobPtr& j : order) {
+    bool plain = !j->spec.types && !j->spec.zone && !j->spec.one_zone && !j->spec.spread;
+    Shape shape{j->need.cpus, j->need.gpus, j->need.mem, j->cls, j->spec.spot, j->spec.priority};
+    if (plain && stalled.contains(shape)) continue;
     while (!j->pending.empty() && walks < kWalksPerTurn) {
       // A team at its limit gets no Accept and no rent.
       if (!quota_ok(*j, true)) break;
@@ -163,17 +164,24 @@
       i.order = next_order_++;
       if (!enter(std::move(i), now)) {
         j->pending.insert(task);
+        if (plain) stalled.insert(shape);
         break;
       }
     }
   }
+  // More than one turn's worth: the rest has the next one.
+  if (walks >= kWalksPerTurn) stirred_ = true;
+}
+
+void Desk::turn(double now) {
+  stirred_ = false;
+  admit(now);
 }
 
 // First come, first served within a priority, as far as the machine has room.
 void Desk::plan(Machine& m, double now) {
-  if (m.state != Machine::up || m.leaving || m.draining || m.avoid_until > now) return;
-  const std::size_t most =
-      static_cast<std::size_t>(std::max(4.0, (settings_.value_kb * 1024 - 400) / 110));
+  if (m.state != Machine::up || !m.rostered || m.leaving || m.draining || m.avoid_until > now)
+    return;
   for (std::size_t i = 0; i < m.waiting.size();) {
     Item& it = m.waiting[i];
     Job& j = *it.job;
@@ -181,13 +189,14 @@
       // Its job's other tasks have bound it to another zone since it joined.
       Item back = std::move(it);
       m.waiting.erase(m.waiting.begin() + static_cast<long>(i));
+      listed(m, back, false);
       to_pending(back);
       continue;
     }
     // Counted again at the last moment, over every recorded placement: the limit is a rule.
     // The list is first come, first served to the letter: small tasks that slipped past a large
     // one would keep it waiting for as long as they keep coming.
-    if (!j.need.fits(room(m)) || m.placements.size() >= most) break;
+    if (!j.need.fits(room(m))) break;
     if (!quota_ok(j, false) || (j.spec.gang && j.in_round.contains(it.task))) {
       ++i;
       continue;
@@ -202,7 +211,7 @@
     }
     p.item = std::move(it);
     m.waiting.erase(m.waiting.begin() + static_cast<long>(i));
-    team_waiting_[j.team] -= j.need;
+    listed(m, p.item, false);
     hold(m, p);
     m.placements.push_back(std::move(p));
   }
@@ -251,36 +260,32 @@
   if (m.state != Machine::up || m.leaving || m.draining || m.avoid_until > now ||
       !m.waiting.empty())
     return;
-  struct Candidate {
-    wire::Priority priority;
-    std::uint64_t order;
-    int machine;
-  };
-  std::vector<Candidate> found;
-  for (auto& [n, other] : machines_)
-    if (n != m.number)
-      for (const Item& i : other->waiting) found.push_back({i.job->spec.priority, i.order, n});
-  std::sort(found.begin(), found.end(), [](const Candidate& a, const Candidate& b) {
-    return std::pair(a.priority, a.order) < std::pair(b.priority, b.order);
-  });
   std::size_t walks = 0;
-  for (const Candidate& c : found) {
-    Machine* from = at(c.machine);
-    if (!from || walks > 64) continue;
+  const Job* misfit = nullptr;  // the same job's next task would not fit either
+  auto next = waiting_.begin();
+  while (next != waiting_.end() && walks < kPullsPerReport) {
+    if (room(m).cpus <= 0) return;
+    auto [key, number] = *next++;
+    Machine* from = at(number);
+    if (!from || from == &m) continue;
     auto it = std::find_if(from->waiting.begin(), from->waiting.end(),
-                           [&](const Item& i) { return i.order == c.order; });
-    if (it == from->waiting.end() || !it->job->need.fits(room(m)) || !usable(m, *it->job, now))
+                           [&](const Item& i) { return i.key() == key; });
+    if (it == from->waiting.end() || it->job.get() == misfit) continue;
+    if (!it->job->need.fits(room(m)) || !usable(m, *it->job, now)) {
+      misfit = it->job.get();
       continue;
+    }
     ++walks;
     Item item = std::move(*it);
     from->waiting.erase(it);
-    team_waiting_[item.job->team] -= item.job->need;
+    listed(*from, item, false);
     item.trail.clear();
     item.rented = false;
     JobPtr j = item.job;
     std::uint32_t task = item.task;
     if (!enter(std::move(item), now)) requeue(j, task);
     note_idle(*from, now);
+    next = waiting_.upper_bound(key);
   }
 }
 
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -5,7 +5,9 @@
 namespace shunt::front {
 namespace {
 constexpr double kTick = 0.2;
-constexpr double kWatchGap = 0.08;  // between watches: changes come in bundles
+constexpr double kWatchGap = 0.15;    // between watches: changes come in bundles
+constexpr double kBarrierGap = 0.06;  // between reads that polls wait for
+constexpr double kTurn = 0.04;        // what reports make possible is gathered so long
 constexpr int kWatchBlockMs = 1000;
 }  // namespace
 
@@ -21,7 +23,8 @@
       peer_news_(s.shards()),
       timer_(loop, [this] { post([this] { tick(); }); }),
       watch_timer_(loop, [this] { post([this] { watch_loop(); }); }),
-      barrier_timer_(loop, [this] { post([this] { start_barrier(); }); }) {
+      barrier_timer_(loop, [this] { post([this] { start_barrier(); }); }),
+      turn_timer_(loop, [this] { post([this] { turn(); }); }) {
   for (const auto& n : settings_.nodes) {
     peers_.emplace_back();
     for (const auto& p : settings_.peers)
@@ -49,13 +52,12 @@
   for (int k = 0; k < settings_.shards(); ++k) {
     if (!shards_[k].desk) continue;
     shards_[k].desk->tick(now);
-    pump(k);
-    flush_held(k);
   }
+  turn();
   rent_and_return();
+  roster_pump();
   if (now > list_at_ && !list_busy_ && loaded_) list_machines("");
   if (now > peers_at_) peer_beats();
-  if (now > sweep_at_) sweep();
   if (now > log_at_) {
     log_at_ = now + 10;
     for (auto& s : shards_)
@@ -166,7 +168,7 @@
                for (auto& w : *waiting) w(r.status == 200 && fresh_at_ >= began);
                if (!barrier_next_.empty()) {
                  barrier_armed_ = true;
-                 barrier_timer_.after(0.03);
+                 barrier_timer_.after(kBarrierGap);
                }
              }));
 }
@@ -195,21 +197,48 @@
         break;
       case state::Change::machine_set: {
         const auto* m = world_.machine(c.name);
-        if (!m || m->record.shard >= settings_.shards()) break;
-        if (auto& d = shards_[m->record.shard].desk) d->machine_known(m->record, now);
+        if (!m || m->shard >= settings_.shards()) break;
+        for (int k = 0; k < settings_.shards(); ++k) {
+          auto& d = shards_[k].desk;
+          if (!d) continue;
+          if (k != m->shard) {
+            d->machine_moved(c.name, now);
+            continue;
+          }
+          d->machine_known(*m, now);
+          if (auto a = addrs_.find(c.name); a != addrs_.end()) d->machine_addr(c.name, a->second);
+        }
         break;
       }
+      case state::Change::machine_gone:
+        // Only what the cloud has deleted leaves the roster.
+        for (auto& s : shards_)
+          if (s.desk) s.desk->machine_moved(c.name, now);
+        break;
       default:
         break;
     }
   }
   if (owners) shards();
-  for (int k = 0; k < settings_.shards(); ++k)
-    if (shards_[k].desk && !changes.empty()) {
-      shards_[k].desk->tick(now);
-      pump(k);
-      flush_held(k);
-    }
+  if (!changes.empty()) stir();
+}
+
+// Work that reports and changes made possible is done in turns: a thousand reports cost one.
+void Controller::stir() {
+  if (turn_armed_) return;
+  turn_armed_ = true;
+  turn_timer_.after(kTurn);
+}
+void Controller::turn() {
+  turn_armed_ = false;
+  double now = loop_.now();
+  for (int k = 0; k < settings_.shards(); ++k) {
+    if (!shards_[k].desk) continue;
+    if (shards_[k].desk->stirred()) shards_[k].desk->turn(now);
+    pump(k);
+    flush_held(k);
+    if (shards_[k].desk && shards_[k].desk->stirred()) stir();
+  }
 }
 
 // ---- the key that shows this node alive
@@ -329,11 +358,15 @@
     if (team >= 0 && settings_.team_shard[team] == k)
       s.desk->job_added(j.record, team, world_.done(id), now, loop_.wall_now());
   }
-  for (const auto& [name, m] : world_.machines())
-    if (m.record.shard == k) s.desk->machine_known(m.record, now);
+  for (const auto& [name, m] : world_.machines()) {
+    if (m.shard != k) continue;
+    s.desk->machine_known(m, now);
+    if (auto a = addrs_.find(name); a != addrs_.end()) s.desk->machine_addr(name, a->second);
+  }
+  for (const auto& [n, sheet] : world_.sheets(k)) s.desk->inherit(n, sheet, now);
   spdlog::info("shard {}: acting under token {} {}", k, token, s.desk->summary());
   s.desk->tick(now);
-  pump(k);
+  stir();
 }
 
 void Controller::close_desk(int k) {
@@ -412,7 +445,7 @@
   } else {
     if (s.desk->txn_out()) return;
     s.tag = next_tag();
-    auto t = s.desk->next_txn(world_, settings_.txn_ops, s.tag);
+    auto t = s.desk->next_txn(world_, s.tag, now);
     if (!t) return;
     s.txn = std::move(*t);
   }
@@ -496,20 +529,4 @@
   });
 }
 
-// Finished sets whose job is over, left behind when a job was too large to sweep in one commit.
-void Controller::sweep() {
-  sweep_at_ = loop_.now() + 5;
-  if (!loaded_ || !shards_[settings_.self].desk) return;
-  wire::Txn t;
-  for (const auto& id : world_.orphans(static_cast<std::size_t>(settings_.txn_ops) / 2)) {
-    t.guards.emplace_back(id, world_.stamp(id));
-    t.ops.push_back({id, std::nullopt, 0});
-  }
-  if (t.ops.empty()) return;
-  state_.commit(t, state::Urgency::sweep, 3,
-                reply<state::CommitResult>([this, t](state::CommitResult r) {
-                  if (r.kind == state::CommitResult::applied) apply_own(t, r.revision);
-                }));
-}
-
 }  // namespace shunt::front
--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -59,7 +59,8 @@
   void txn_done(int shard, std::uint64_t token, state::CommitResult r);
   void txn_settled(int shard, bool applied, std::uint64_t revision);
   void apply_own(const wire::Txn& t, std::uint64_t revision);
-  void sweep();
+  void turn();
+  void stir();
   bool fresh(double within) const;
   std::string next_tag();
 
@@ -77,12 +78,15 @@
 
   // workers.cpp
   void beat(ExchangePtr ex);
-  void adopt(const wire::MachineRecord& r);
+  void adopt(const wire::MachineRecord& found);
   void reply_report(Shard& s, const std::string& machine, const ExchangePtr& ex);
   void flush_held(int shard);
   void internal(ExchangePtr ex);
   void peer_beats();
 
+  // roster.cpp: which shard a machine belongs to
+  void roster_pump();
+
   // machines.cpp
   void load_types();
   void rent_and_return();
@@ -112,10 +116,14 @@
   std::uint64_t tags_ = 0, charters_ = 0;
 
   bool types_busy_ = false, list_busy_ = false;
-  double types_at_ = -1e9, list_at_ = 0, rent_at_ = 0, peers_at_ = 0, log_at_ = 0, sweep_at_ = 0;
+  double types_at_ = -1e9, list_at_ = 0, rent_at_ = 0, peers_at_ = 0, log_at_ = 0;
   std::map<std::string, double> unknown_since_;  // listed machines without a record
   std::map<std::string, double> removed_;        // machines deleted lately
-  std::set<std::string> adopting_, seen_listed_, list_now_;
+  std::set<std::string> seen_listed_, list_now_;
+  std::map<std::string, fleet::RosterWish> roster_wishes_;  // by machine
+  bool roster_out_ = false;
+  double roster_after_ = 0;
+  std::unordered_map<std::string, std::string> addrs_;  // of machines, as last listed or reported
   std::map<std::string, int> missing_;
 
   std::unordered_map<std::string, wire::FinalRecord> finals_;
@@ -127,7 +135,8 @@
   std::vector<PeerNews> peer_news_;
   std::uint64_t garbage_ = 0, submissions_ = 0, refused_ = 0;
 
-  actor::Timer timer_, watch_timer_, barrier_timer_;
+  actor::Timer timer_, watch_timer_, barrier_timer_, turn_timer_;
+  bool turn_armed_ = false;
   std::unique_ptr<net::Server> front_, internal_;
 };
 
--- a/src/front/machines.cpp
+++ b/src/front/machines.cpp
@@ -51,7 +51,7 @@
                         if (auto h = me.held.find(name); h != me.held.end()) me.held.erase(h);
                         me.desk->machine_gone(name, loop_.now());
                       }
-                      pump(k);
+                      stir();
                     }));
     }
     if (!boot_) continue;
@@ -68,7 +68,7 @@
                       me.desk->rented(w, r.machines, loop_.now());
                     else
                       me.desk->refused(w, 0, r.kind == cloud::RentResult::no_capacity, loop_.now());
-                    pump(k);
+                    stir();
                   }));
     }
   }
@@ -89,25 +89,19 @@
                 for (const auto& m : l.machines) {
                   list_now_.insert(m.name);
                   seen_listed_.insert(m.name);
+                  addrs_[m.name] = m.addr;
                   const auto* known = world_.machine(m.name);
                   if (known) {
                     unknown_since_.erase(m.name);
-                    int k = known->record.shard;
-                    if (m.state == "failed" && k < settings_.shards() && shards_[k].desk)
-                      shards_[k].desk->machine_failed(m.name, false, now);
+                    int k = known->shard;
+                    if (k >= settings_.shards() || !shards_[k].desk) continue;
+                    shards_[k].desk->machine_addr(m.name, m.addr);
+                    if (m.state == "failed") shards_[k].desk->machine_failed(m.name, false, now);
                     continue;
                   }
                   if (!shards_[0].desk || removed_.contains(m.name)) continue;
                   double since = unknown_since_.try_emplace(m.name, now).first->second;
-                  if (now - since > kUnknownFor && adopting_.insert(m.name).second) {
-                    wire::MachineRecord rec;
-                    rec.name = m.name;
-                    rec.addr = m.addr;
-                    rec.type = m.type;
-                    rec.zone = m.zone;
-                    rec.spot = m.spot;
-                    adopt(rec);
-                  }
+                  if (now - since > kUnknownFor) adopt({m.name, m.type, m.zone, m.spot, 0, 0});
                 }
                 if (l.more && !l.machines.empty()) return list_machines(l.machines.back().name);
                 // Once listed, a machine stays listed until it is gone; but lists come out of
@@ -126,6 +120,7 @@
                     if (s.desk) s.desk->machine_failed(*it, true, now);
                   missing_.erase(*it);
                   unknown_since_.erase(*it);
+                  addrs_.erase(*it);
                   it = seen_listed_.erase(it);
                 }
                 list_busy_ = false;
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -97,11 +97,7 @@
   barrier([this, ex, id, counts, unknown, final_answer](bool ok) {
     if (!ok) return ex->send(later());
     if (world_.job(id)) {
-      std::uint64_t running = 0;
-      for (const auto& [name, m] : world_.machines())
-        for (const auto& p : m.record.placements) running += p.task.job == id;
-      std::uint64_t done = world_.done_count(id);
-      running = running > done ? running - done : 0;
+      auto [done, running] = world_.progress(id, jobs::kChunk);
       ex->send(
           {200,
            wire::encode_job_state(id, running ? wire::JobState::running : wire::JobState::queued,
@@ -226,9 +222,6 @@
     return ex->send(no(400, "after is not a job id"));
   barrier([this, ex, name, after, limit](bool ok) {
     if (!ok) return ex->send(later());
-    std::map<std::string, std::uint64_t> running;
-    for (const auto& [n, m] : world_.machines())
-      for (const auto& p : m.record.placements) ++running[p.task.job];
     nlohmann::json list = nlohmann::json::array();
     bool more = false;
     for (auto it = world_.jobs().upper_bound(after); it != world_.jobs().end(); ++it) {
@@ -238,8 +231,7 @@
         more = true;
         break;
       }
-      std::uint64_t done = world_.done_count(s.id), on = running[s.id];
-      on = on > done ? on - done : 0;
+      auto [done, on] = world_.progress(s.id, jobs::kChunk);
       list.push_back(
           {{"uid", s.id},
            {"consist", s.cls},
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -23,26 +23,16 @@
   // An owner that has not read the state service for S may have been replaced, and may not know
   // of cancellations: it must let the leases run out.
   if (!fresh(settings_.stale_s())) return ex->send({503, "{}", 0});
-  const state::MachineEntry* m = world_.machine(r.machine);
-  int shard = m ? m->record.shard : -1;
+  const wire::MachineRecord* m = world_.machine(r.machine);
+  int shard = m ? m->shard : -1;
   if (!m)
     for (int k = 0; k < settings_.shards(); ++k)
       if (shards_[k].desk && shards_[k].desk->has_machine(r.machine)) shard = k;
   if (shard < 0) {
     if (removed_.contains(r.machine)) return ex->send({503, "{}", 0});
-    // Nobody's: adopted. Without a record it can have no task of ours.
-    if (adopting_.insert(r.machine).second) {
-      wire::MachineRecord rec;
-      rec.name = r.machine;
-      rec.addr = r.addr;
-      rec.type = r.type;
-      rec.zone = r.zone;
-      rec.spot = r.spot;
-      barrier([this, rec](bool ok) {
-        if (ok && !world_.machine(rec.name)) return adopt(rec);
-        adopting_.erase(rec.name);
-      });
-    }
+    // Nobody's: adopted. Nothing can have been placed on what the roster does not hold.
+    addrs_[r.machine] = r.addr;
+    adopt({r.machine, r.type, r.zone, r.spot, 0, 0});
     return ex->send({503, "{}", 0});
   }
   if (shard >= settings_.shards()) return ex->send({503, "{}", 0});
@@ -72,7 +62,7 @@
     h->second.ex->send({503, "{}", 0});
     s.held.erase(h);
   }
-  pump(shard);
+  stir();
   if (s.desk->awaits_commit(r.machine) && tuning_.reply_hold_s > 0)
     s.held[r.machine] = {ex, now + tuning_.reply_hold_s};
   else
@@ -98,36 +88,6 @@
   }
 }
 
-void Controller::adopt(const wire::MachineRecord& found) {
-  wire::MachineRecord r = found;
-  std::vector<int> have(settings_.shards(), 0);
-  for (const auto& [n, m] : world_.machines())
-    if (m.record.shard < settings_.shards()) ++have[m.record.shard];
-  // Several nodes adopt at once when a fleet is found running: its names spread it evenly.
-  int least = *std::min_element(have.begin(), have.end());
-  int first = static_cast<int>(std::hash<std::string>{}(r.name) % have.size());
-  if (auto digits = r.name.find_last_not_of("0123456789") + 1; digits < r.name.size())
-    first = static_cast<int>(std::strtoull(r.name.c_str() + digits, nullptr, 10) % have.size());
-  r.shard = first;
-  for (std::size_t i = 0; i < have.size(); ++i) {
-    int k = static_cast<int>((static_cast<std::size_t>(first) + i) % have.size());
-    if (have[k] > least) continue;
-    r.shard = k;
-    break;
-  }
-  r.tag = next_tag();
-  wire::Txn t;
-  t.guards.emplace_back(state::machine_key(r.name), 0);
-  t.ops.push_back({state::machine_key(r.name),
-                   wire::encode_record(r, [](int) { return std::string("-"); }), 0});
-  spdlog::info("adopting {} into shard {}", r.name, r.shard);
-  state_.commit(t, state::Urgency::work, 3,
-                reply<state::CommitResult>([this, t, name = r.name](state::CommitResult c) {
-                  adopting_.erase(name);
-                  if (c.kind == state::CommitResult::applied) apply_own(t, c.revision);
-                }));
-}
-
 void Controller::internal(ExchangePtr ex) {
   if (ex->path == "/peer/beat" && ex->post) {
     auto b = peer::decode(ex->body, settings_.shards());
@@ -145,7 +105,7 @@
       for (int k = 0; k < settings_.shards(); ++k)
         if (shards_[k].desk && !shards_[k].desk->wanted(loop_.now())) {
           shards_[k].desk->give(static_cast<int>(most - b->wants.begin()), *most);
-          pump(k);
+          stir();
         }
     return ex->send({200, "{}", 0});
   }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,7 @@
 // A live job as its shard's owner sees it. Pure.
 #pragma once
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -43,7 +44,7 @@
   const Amount need;
   const double since;  // steady time of its submission
   bool gone = false;   // cancelled or final: none of its tasks may start
-  bool finishing = false;
+  int image = -1;      // dense index of its image
 
   void load_done(std::uint32_t chunk, const state::Intervals& list);  // as persisted
   bool mark_done(std::uint32_t task);                                 // false if known already
@@ -54,6 +55,9 @@
   void set_persisted(std::uint32_t c, const std::vector<bool>& bits);
   bool dirty(std::uint32_t c) const;
   std::set<std::uint32_t> dirty_chunks;
+  double dirty_since = 0;                   // of the oldest result that is not persisted
+  std::map<std::uint32_t, int> done_sheet;  // where each chunk was written last
+  std::uint32_t listed = 0;                 // of its tasks, on machines' waiting lists
 
   // Placements that may exist, by task and by zone.
   std::vector<std::uint8_t> places;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,9 +1,12 @@
 #include "wire/codec.h"
 
+#include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <unordered_map>
 
 namespace shunt::wire {
 namespace {
@@ -445,48 +448,107 @@
   });
 }
 
-std::string encode_record(const MachineRecord& r, const TeamName& names) {
-  json jobs = json::object();
-  for (const auto& p : r.placements) {
-    json& g = jobs[p.task.job];
-    if (g.is_null())
-      g = {{"t", names(p.team)},
-           {"c", p.cpus},
-           {"g", p.gpus},
-           {"m", p.mem_gb},
-           {"l", json::array()}};
-    g["l"].push_back(p.task.index);
-    g["l"].push_back(p.attempt);
+std::string encode_record(const RosterRecord& r) {
+  json machines = json::object();
+  for (const auto& m : r.machines)
+    machines[m.name] = json::array({m.type, m.zone, m.spot ? 1 : 0, m.shard, m.token});
+  return json{{"w", r.tag}, {"m", std::move(machines)}}.dump();
+}
+RosterRecord decode_roster(std::string_view body) {
+  return guarded(body, [](const json& j) {
+    RosterRecord r;
+    r.tag = text_or(j, "w", "");
+    const json& machines = need(j, "m");
+    if (!machines.is_object()) throw Malformed("m is not an object");
+    for (auto it = machines.begin(); it != machines.end(); ++it) {
+      const json& l = it.value();
+      if (!l.is_array() || l.size() != 5) throw Malformed("a machine is bad");
+      auto shard = as_whole(l[3], "shard");
+      if (shard > 1000) throw Malformed("a shard is out of range");
+      r.machines.push_back({it.key(), as_text(l[0], "type"), as_text(l[1], "zone"),
+                            as_whole(l[2], "spot") != 0, static_cast<int>(shard),
+                            as_whole(l[4], "token")});
+    }
+    return r;
+  });
+}
+
+// Machines are named once and referred to by position; attempts are counted from the lowest.
+std::string encode_record(const SheetRecord& r, const TeamName& names) {
+  std::uint64_t base = 0;
+  bool any = false;
+  for (const auto& g : r.jobs)
+    for (const auto& p : g.places) {
+      base = any ? std::min(base, p.attempt) : p.attempt;
+      any = true;
+    }
+  json machines = json::array(), jobs = json::object();
+  std::unordered_map<std::string, std::size_t> position;
+  for (const auto& g : r.jobs) {
+    json places = json::array(), done = json::object();
+    for (const auto& p : g.places) {
+      auto [it, fresh] = position.try_emplace(p.machine, position.size());
+      if (fresh) machines.push_back(p.machine);
+      places.push_back(it->second);
+      places.push_back(p.task);
+      places.push_back(p.attempt - base);
+    }
+    for (const auto& [chunk, list] : g.done) {
+      json& l = done[std::to_string(chunk)] = json::array();
+      for (auto [a, b] : list) {
+        l.push_back(a);
+        l.push_back(b);
+      }
+    }
+    json& out = jobs[g.job] = {{"t", names(g.team)}, {"c", g.cpus}, {"g", g.gpus}, {"m", g.mem_gb}};
+    if (!places.empty()) out["l"] = std::move(places);
+    if (!done.empty()) out["d"] = std::move(done);
   }
-  return json{{"addr", r.addr},   {"type", r.type},   {"zone", r.zone}, {"spot", r.spot},
-              {"shard", r.shard}, {"token", r.token}, {"w", r.tag},     {"jobs", std::move(jobs)}}
-      .dump();
+  return json{{"w", r.tag}, {"b", base}, {"m", std::move(machines)}, {"j", std::move(jobs)}}.dump();
 }
-MachineRecord decode_machine_record(std::string_view body, const TeamIndex& index) {
+SheetRecord decode_sheet(std::string_view body, const TeamIndex& index) {
   return guarded(body, [&](const json& j) {
-    MachineRecord r;
-    r.addr = text_or(j, "addr", "");
-    r.type = text(j, "type");
-    r.zone = text(j, "zone");
-    r.spot = flag(j, "spot");
-    r.shard = static_cast<int>(number(j, "shard", 0));
+    SheetRecord r;
     r.tag = text_or(j, "w", "");
-    r.token = whole(j, "token");
-    const json& jobs = need(j, "jobs");
+    std::uint64_t base = whole(j, "b");
+    const json& machines = list(j, "m");
+    const json& jobs = need(j, "j");
+    if (!jobs.is_object()) throw Malformed("j is not an object");
     for (auto it = jobs.begin(); it != jobs.end(); ++it) {
       const json& g = it.value();
-      PlacementRecord p;
-      p.task.job = it.key();
-      p.team = index(text(g, "t"));
-      p.cpus = number(g, "c", 0);
-      p.gpus = number(g, "g", 0);
-      p.mem_gb = number(g, "m", 0);
-      const json& l = list(g, "l");
-      for (std::size_t i = 0; i + 1 < l.size(); i += 2) {
-        p.task.index = static_cast<std::uint32_t>(as_whole(l[i], "l"));
-        p.attempt = as_whole(l[i + 1], "l");
-        r.placements.push_back(p);
+      SheetJob out;
+      out.job = it.key();
+      out.team = index(text(g, "t"));
+      out.cpus = number(g, "c", 0);
+      out.gpus = number(g, "g", 0);
+      out.mem_gb = number(g, "m", 0);
+      if (const json* l = find(g, "l")) {
+        if (!l->is_array() || l->size() % 3) throw Malformed("l is bad");
+        for (std::size_t i = 0; i < l->size(); i += 3) {
+          auto m = as_whole((*l)[i], "l");
+          auto task = as_whole((*l)[i + 1], "l");
+          if (m >= machines.size() || task > 100000) throw Malformed("a placement is bad");
+          out.places.push_back({as_text(machines[m], "m"), static_cast<std::uint32_t>(task),
+                                base + as_whole((*l)[i + 2], "l")});
+        }
       }
+      if (const json* d = find(g, "d")) {
+        if (!d->is_object()) throw Malformed("d is not an object");
+        for (auto c = d->begin(); c != d->end(); ++c) {
+          Intervals done;
+          const json& l = c.value();
+          if (!l.is_array() || l.size() % 2) throw Malformed("an interval is bad");
+          for (std::size_t i = 0; i < l.size(); i += 2) {
+            auto a = as_whole(l[i], "d"), b = as_whole(l[i + 1], "d");
+            if (a > b || b > 100000) throw Malformed("an interval is bad");
+            done.emplace_back(static_cast<std::uint32_t>(a), static_cast<std::uint32_t>(b));
+          }
+          out.done.emplace_back(
+              static_cast<std::uint32_t>(std::strtoul(c.key().c_str(), nullptr, 10)),
+              std::move(done));
+        }
+      }
+      r.jobs.push_back(std::move(out));
     }
     return r;
   });
@@ -515,32 +577,16 @@
   });
 }
 
-std::string encode_done(const std::vector<bool>& bits) {
-  json l = json::array();
-  for (std::size_t i = 0; i < bits.size();) {
-    if (!bits[i]) {
-      ++i;
-      continue;
-    }
+Intervals intervals(const std::vector<bool>& bits) {
+  Intervals l;
+  for (std::size_t i = 0; i < bits.size(); ++i) {
+    if (!bits[i]) continue;
     std::size_t e = i;
     while (e + 1 < bits.size() && bits[e + 1]) ++e;
-    l.push_back(i);
-    l.push_back(e);
-    i = e + 1;
+    l.emplace_back(static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(e));
+    i = e;
   }
-  return json{{"d", std::move(l)}}.dump();
-}
-std::vector<std::pair<std::uint32_t, std::uint32_t>> decode_done(std::string_view body) {
-  return guarded(body, [](const json& j) {
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> out;
-    const json& l = list(j, "d");
-    for (std::size_t i = 0; i + 1 < l.size(); i += 2) {
-      auto a = as_whole(l[i], "d"), b = as_whole(l[i + 1], "d");
-      if (a > b || b > 100000) throw Malformed("an interval is bad");
-      out.emplace_back(static_cast<std::uint32_t>(a), static_cast<std::uint32_t>(b));
-    }
-    return out;
-  });
+  return l;
 }
 
 }  // namespace shunt::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -58,14 +58,15 @@
 // A team travels by name; the index is made at the door.
 using TeamIndex = std::function<int(const std::string&)>;
 using TeamName = std::function<std::string(int)>;
-std::string encode_record(const MachineRecord& r, const TeamName& names);
-MachineRecord decode_machine_record(std::string_view text, const TeamIndex& index);
+std::string encode_record(const RosterRecord& r);
+RosterRecord decode_roster(std::string_view text);
+std::string encode_record(const SheetRecord& r, const TeamName& names);
+SheetRecord decode_sheet(std::string_view text, const TeamIndex& index);
 std::string encode_record(const FinalRecord& r);
 FinalRecord decode_final_record(std::string_view text);
 std::string encode_record(const OwnerRecord& r);
 OwnerRecord decode_owner_record(std::string_view text);
-// Finished tasks of one chunk as [first,last,...] intervals relative to its start.
-std::string encode_done(const std::vector<bool>& bits);
-std::vector<std::pair<std::uint32_t, std::uint32_t>> decode_done(std::string_view text);
+// Finished tasks of one chunk as intervals relative to its start.
+Intervals intervals(const std::vector<bool>& bits);
 
 }  // namespace shunt::wire
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace shunt::wire {
@@ -104,19 +105,37 @@
   JobSpec spec;
   double submitted_at = 0;  // time of day, seconds
 };
-struct PlacementRecord {
-  TaskId task;
-  std::uint64_t attempt = 0;
-  int team = -1;  // dense index by name at the door
-  double cpus = 0, gpus = 0, mem_gb = 0;
-};
+// A machine and the shard that it belongs to.
 struct MachineRecord {
-  std::string name, addr, type, zone;
+  std::string name, type, zone;
   bool spot = false;
   int shard = 0;
-  std::string tag;          // names the transaction that wrote it
   std::uint64_t token = 0;  // of the owner that wrote it: the worker may have seen it
-  std::vector<PlacementRecord> placements;
+  friend bool operator==(const MachineRecord&, const MachineRecord&) = default;
+};
+// Many machines share a key: a fleet's start must not cost a change a machine.
+struct RosterRecord {
+  std::string tag;  // names the transaction that wrote it
+  std::vector<MachineRecord> machines;
+};
+// Where a job's tasks may run, and which of its tasks are done, as [first,last] by chunk.
+using Intervals = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+struct SheetJob {
+  struct Place {
+    std::string machine;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+  };
+  std::string job;
+  int team = -1;  // dense index by name at the door
+  double cpus = 0, gpus = 0, mem_gb = 0;
+  std::vector<Place> places;
+  std::vector<std::pair<std::uint32_t, Intervals>> done;
+};
+// A sheet holds placements on many machines, so that many starts share one change.
+struct SheetRecord {
+  std::string tag;
+  std::vector<SheetJob> jobs;
 };
 struct FinalRecord {
   bool cancelled = false;
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -49,6 +49,21 @@
   return r;
 }
 
+// A roster page as a node would write it, with these machines added to what is there.
+inline wire::Txn roster_txn(const state::World& w, const std::vector<wire::MachineRecord>& add) {
+  std::map<int, std::vector<wire::MachineRecord>> pages;
+  for (const auto& m : add) {
+    int page = state::roster_page(m.name);
+    if (!pages.contains(page)) pages[page] = w.roster(page);
+    pages[page].push_back(m);
+  }
+  wire::Txn t;
+  for (const auto& [page, machines] : pages)
+    t.ops.push_back(
+        {state::roster_key(page), wire::encode_record(wire::RosterRecord{"t", machines}), 0});
+  return t;
+}
+
 // The state service: commits with guards, and the log that watches read.
 struct Store {
   struct Entry {
