Machines shared out by load; deletions gathered; sheets judged by what still matters

Machines now change shards by load (guarantees first), deletions go one call at a time, the list takes a fifth of the calls. Callbacks named a desk by its token and were lost when it was raised: they name it by its birth. 2. Cause: 3,000 planned starts while 3.5 commits a second went out: sheets were picked by what was ever written in them. They are pruned first.

--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -29,6 +29,19 @@
   return nullptr;
 }
 
+// What is proven gone, or is written elsewhere by now, need not be carried on.
+void Desk::prune_sheets() {
+  for (std::size_t i = 0; i < sheets_.size(); ++i) {
+    std::erase_if(sheets_[i].held, [&](const Held& h) {
+      const Placement* p = placement(h);
+      return !p || p->released;
+    });
+    std::erase_if(sheets_[i].done, [&](const auto& d) {
+      return d.first->gone || d.first->done_sheet[d.second] != static_cast<int>(i);
+    });
+  }
+}
+
 // Writes a sheet anew: what it holds and still matters, and as many of the starts and results as
 // it has room for. Its length is counted from above. False if there was room for nothing.
 bool Desk::fill_sheet(int index, const state::World& w, std::vector<Held>& starts,
@@ -76,13 +89,6 @@
     write.done.emplace_back(j, c, std::move(bits));
   };
 
-  std::erase_if(sheet.held, [&](const Held& h) {
-    const Placement* p = placement(h);
-    return !p || p->released;
-  });
-  std::erase_if(sheet.done, [&](const auto& d) {
-    return d.first->gone || d.first->done_sheet[d.second] != index;
-  });
   for (const Held& h : sheet.held) {
     bytes += place_bytes(h);
     put(h);
@@ -178,7 +184,9 @@
     return a.job->spec.priority < b.job->spec.priority;
   });
   if (!starts.empty() || due) {
-    // The emptiest sheets first.
+    // The emptiest sheets first, by what still matters: counted with what does not, the sheets
+    // written least would seem the fullest, and starts would queue for the others.
+    prune_sheets();
     std::vector<std::size_t> order(sheets_.size());
     for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
     auto load = [&](std::size_t i) { return sheets_[i].held.size() + 4 * sheets_[i].done.size(); };
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -58,6 +58,7 @@
       catalogue_(c),
       shard_(shard),
       token_(token),
+      born_(token),
       taken_at_(now),
       rng_(seed),
       next_attempt_(token << 20),
@@ -298,7 +299,6 @@
   Machine* m = find(name);
   if (!m) return;
   remove_machine(m->number, now);
-  dropped_.push_back(name);
 }
 void Desk::machine_moved(const std::string& name, double now) {
   Machine* m = find(name);
@@ -306,7 +306,7 @@
   if (m->giving >= 0) ++count_.given;
   remove_machine(m->number, now);
 }
-std::vector<RosterWish> Desk::roster_wishes() {
+std::vector<RosterWish> Desk::roster_wishes() const {
   std::vector<RosterWish> out;
   for (const auto& [n, m] : machines_) {
     if (m->name.empty() || m->type < 0 || m->zone < 0) continue;
@@ -316,8 +316,6 @@
                    {m->name, catalogue_.types[m->type].spec.name, settings_.zones[m->zone], m->spot,
                     give ? m->giving : shard_, token_}});
   }
-  for (const auto& name : dropped_) out.push_back({RosterWish::drop, {name, {}, {}, false, 0, 0}});
-  dropped_.clear();
   return out;
 }
 
@@ -509,7 +507,7 @@
       out.push_back({m->name, m->addr, std::max<std::uint64_t>(m->session, 1), {}});
       continue;
     }
-    if (m->state != Machine::up || m->direct_out || m->leaving || m->token != token_ ||
+    if (m->state != Machine::up || m->direct_out || m->leaving || m->token > token_ ||
         now - m->last_report > 2 * settings_.report_s || skip(m->name))
       continue;
     Direct d{m->name, m->addr, m->session, {}};
@@ -638,6 +636,16 @@
     placed += m->placements.size();
     waiting += m->waiting.size();
   }
+  // How far the placements are on their way.
+  std::size_t planned = 0, unsent = 0, unseen = 0, fetching = 0, running = 0, over = 0;
+  for (const auto& [n, m] : machines_)
+    for (const Placement& p : m->placements)
+      (p.released                                ? over
+       : p.phase != Phase::committed             ? planned
+       : p.seen && p.state == RunState::fetching ? fetching
+       : p.seen                                  ? running
+       : p.sent                                  ? unseen
+                                                 : unsent)++;
   std::size_t idle = 0;
   std::vector<double> k;  // the learned waits, by tier
   for (const auto& [tier, wait] : idle_) k.push_back(wait.seconds(0));
@@ -656,6 +664,12 @@
                         {"booting", booting},
                         {"up", up},
                         {"placed", placed},
+                        {"planned", planned},
+                        {"unsent", unsent},
+                        {"unseen", unseen},
+                        {"fetching", fetching},
+                        {"running", running},
+                        {"over", over},
                         {"waiting", waiting},
                         {"pending", pending},
                         {"capacity", capacity},
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -14,6 +14,7 @@
 #include "chain/walk.h"
 #include "config/settings.h"
 #include "jobs/job.h"
+#include "shard/balance.h"
 #include "state/world.h"
 #include "wire/types.h"
 
@@ -67,6 +68,8 @@
        std::uint64_t token, double now, std::uint64_t seed);
 
   std::uint64_t token() const { return token_; }
+  // The token it was opened under: names this desk through all raises.
+  std::uint64_t born() const { return born_; }
   // A machine of ours has seen a higher token under another shard.
   void outranked() { outranked_ = true; }
   int shard() const { return shard_; }
@@ -79,11 +82,11 @@
   void machine_known(const wire::MachineRecord& r, double now);
   // A sheet of the shard as the takeover found it: all its placements may exist.
   void inherit(int sheet, const wire::SheetRecord& r, double now);
-  // The machine is proven deleted (the roster holds it no more), or belongs to another shard.
+  // The machine is proven deleted, or belongs to another shard.
   void machine_gone(const std::string& name, double now);
   void machine_moved(const std::string& name, double now);
   void machine_addr(const std::string& name, const std::string& addr);
-  std::vector<RosterWish> roster_wishes();
+  std::vector<RosterWish> roster_wishes() const;
   bool has_machine(const std::string& name) const { return by_name_.contains(name); }
 
   // A worker's report. The body of an answer to direct orders is one too, but proves no absence:
@@ -127,11 +130,12 @@
   // The cloud says that it stopped by itself, or does not list it any more (`unlisted`).
   void machine_failed(const std::string& name, bool unlisted, double now);
 
-  // Machines that this shard's work lacks while the cloud refuses to rent any.
-  std::uint32_t wanted(double now) const;
-  // Another shard lacks so many machines: idle ones go there, and if much is free, the emptiest
-  // is emptied first.
-  void give(int to, std::uint32_t machines);
+  // What this shard has, is entitled to and could use.
+  shard::Load load(double now) const;
+  // The cloud has had nothing at all for us lately.
+  bool starved(double now) const { return now - starved_at_ < kStarvedFor; }
+  // Another shard lacks so many machines.
+  void give(int to, int machines, bool drain);
   std::size_t machine_count() const { return by_name_.size(); }
   const Counters& counters() const { return count_; }
   std::string summary() const;
@@ -224,6 +228,7 @@
     std::vector<std::string> finals;
   };
   Placement* placement(const Held& h);
+  void prune_sheets();
   bool fill_sheet(int sheet, const state::World& w, std::vector<Held>& starts,
                   std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
                   wire::Txn& t, Out& out);
@@ -260,11 +265,13 @@
     return p.loose == 0 || m.token > p.loose;
   }
 
+  static constexpr double kStarvedFor = 15;
   const config::Settings& settings_;
   const config::Tuning& tuning_;
   const Catalogue& catalogue_;
   const int shard_;
   std::uint64_t token_;
+  const std::uint64_t born_;
   double raised_at_ = -1e9;
   double starved_at_ = -1e9;  // when the cloud last had nothing at all for us
   bool outranked_ = false;
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -80,47 +80,60 @@
   if (!rentable) starved_at_ = now;
 }
 
-std::uint32_t Desk::wanted(double now) const {
-  if (now - starved_at_ > kRefusedFor || catalogue_.empty()) return 0;
-  std::vector<std::int64_t> pending(settings_.teams.size(), 0);
-  for (const auto& [id, j] : jobs_)
-    if (j->not_before <= now)
-      pending[j->team] += j->need.cpus * static_cast<std::int64_t>(j->pending.size());
-  std::int64_t lack = 0;
-  for (std::size_t t = 0; t < pending.size(); ++t) {
-    std::int64_t limit = Amount::of(settings_.teams[t].cpus_max, 0, 0).cpus;
-    std::int64_t left = limit - team_used_[t].cpus - team_waiting_[t].cpus;
-    lack += std::clamp<std::int64_t>(pending[t], 0, std::max<std::int64_t>(0, left));
-    lack += team_waiting_[t].cpus;
-  }
+shard::Load Desk::load(double now) const {
+  shard::Load out;
+  if (catalogue_.empty()) return out;
+  const Amount one = catalogue_.types[0].room;
+  auto share = [&](const Amount& a) {
+    double s = one.cpus > 0 ? static_cast<double>(a.cpus) / static_cast<double>(one.cpus) : 0;
+    return one.mem > 0 ? std::max(s, static_cast<double>(a.mem) / static_cast<double>(one.mem)) : s;
+  };
   for (const auto& [n, m] : machines_)
-    if (m->state != Machine::up && m->type >= 0) lack -= catalogue_.types[m->type].room.cpus;
-  std::int64_t one = std::max<std::int64_t>(1, catalogue_.types[0].room.cpus);
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, (lack + one / 2) / one));
+    if (m->type >= 0 && !m->leaving && !m->draining)
+      out.capacity += share({catalogue_.types[m->type].room.cpus, 0, 0});
+  std::vector<double> machines(settings_.teams.size(), 0), cpus(settings_.teams.size(), 0);
+  for (const auto& [id, j] : jobs_) {
+    if (j->not_before > now && !j->placed) continue;
+    double left = j->spec.tasks - (j->spec.service ? 0 : j->done_count());
+    machines[j->team] += left * share(j->need);
+    cpus[j->team] += left * j->spec.cpus;
+  }
+  for (std::size_t t = 0; t < machines.size(); ++t) {
+    if (cpus[t] <= 0) continue;
+    const auto& team = settings_.teams[t];
+    out.demand += machines[t] * std::min(1.0, team.cpus_max / cpus[t]);
+    out.entitled += machines[t] * std::min(1.0, team.cpus / cpus[t]);
+  }
+  return out;
 }
 
-void Desk::give(int to, std::uint32_t machines) {
-  std::int64_t free = 0;
-  std::uint32_t going = 0;
-  Machine* emptiest = nullptr;
-  for (auto& [n, m] : machines_) {
-    if (m->giving >= 0) ++going;
-    // Work of our own that waits comes first.
-    if (!m->waiting.empty()) return;
-    if (m->state != Machine::up || m->leaving || m->draining || m->type < 0) continue;
-    free += room(*m).cpus;
-    if (!emptiest || m->used.cpus < emptiest->used.cpus) emptiest = m.get();
-  }
+// Machines go to a shard whose work lacks them: idle ones at once, and, if no more are to be had
+// from the cloud, the emptiest ones as soon as their tasks are over.
+void Desk::give(int to, int machines, bool drain) {
+  for (const auto& [n, m] : machines_) machines -= m->giving >= 0;
   auto send = [&](Machine& m) {
+    empty_list(m);
     m.leaving = true;
     m.giving = to;
-    ++going;
+    --machines;
   };
-  for (auto& [n, m] : machines_)
-    if (going < machines && m->was_idle && !m->leaving) send(*m);
-  if (going == 0 && emptiest && !emptiest->leaving &&
-      free >= 2 * catalogue_.types[emptiest->type].room.cpus)
-    send(*emptiest);
+  std::vector<Machine*> busy;
+  for (auto& [n, m] : machines_) {
+    if (m->state != Machine::up || !m->rostered || m->leaving || m->draining || m->type < 0)
+      continue;
+    if (m->was_idle) {
+      if (machines > 0) send(*m);
+    } else {
+      busy.push_back(m.get());
+    }
+  }
+  if (!drain || machines <= 0) return;
+  std::stable_sort(busy.begin(), busy.end(),
+                   [](const Machine* a, const Machine* b) { return a->used.cpus < b->used.cpus; });
+  for (Machine* m : busy) {
+    if (machines <= 0) break;
+    send(*m);
+  }
 }
 
 std::vector<RentWish> Desk::rent_wishes(double now) {
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -21,6 +21,7 @@
       cloud_(loop, s),
       shards_(s.shards()),
       peer_news_(s.shards()),
+      loads_(s.shards()),
       timer_(loop, [this] { post([this] { tick(); }); }),
       watch_timer_(loop, [this] { post([this] { watch_loop(); }); }),
       barrier_timer_(loop, [this] { post([this] { start_barrier(); }); }),
@@ -444,21 +445,23 @@
     s.txn_retry = false;
   } else {
     if (s.desk->txn_out()) return;
+    // A token is raised between transactions: a busy desk would never be without one, and machines
+    // that came from another shard would stand idle until it was.
+    if (s.desk->wants_raise(now)) return shards();
     s.tag = next_tag();
     auto t = s.desk->next_txn(world_, s.tag, now);
     if (!t) return;
     s.txn = std::move(*t);
   }
-  state_.commit(
-      s.txn, state::Urgency::work, 5,
-      reply<state::CommitResult>([this, k, token = s.desk->token()](state::CommitResult r) {
-        txn_done(k, token, std::move(r));
-      }));
+  state_.commit(s.txn, state::Urgency::work, 5,
+                reply<state::CommitResult>([this, k, born = s.desk->born()](state::CommitResult r) {
+                  txn_done(k, born, std::move(r));
+                }));
 }
 
-void Controller::txn_done(int k, std::uint64_t token, state::CommitResult r) {
+void Controller::txn_done(int k, std::uint64_t born, state::CommitResult r) {
   Shard& s = shards_[k];
-  if (!s.desk || s.desk->token() != token || !s.desk->txn_out()) return;
+  if (!s.desk || s.desk->born() != born || !s.desk->txn_out()) return;
   switch (r.kind) {
     case state::CommitResult::applied:
       txn_settled(k, true, r.revision);
@@ -472,9 +475,9 @@
       std::string key = set ? set->key : s.txn.ops.front().key;
       bool dropped = !set;
       state_.get("/kv/" + key, state::Urgency::work,
-                 reply<net::Result>([this, k, token, dropped](net::Result g) {
+                 reply<net::Result>([this, k, born, dropped](net::Result g) {
                    Shard& me = shards_[k];
-                   if (!me.desk || me.desk->token() != token || !me.desk->txn_out()) return;
+                   if (!me.desk || me.desk->born() != born || !me.desk->txn_out()) return;
                    if (g.status == 404) {
                      txn_settled(k, false, 0);
                      return;
@@ -516,9 +519,9 @@
     return;
   }
   // Before the next try, what made it fail has to be known.
-  barrier([this, k, token = s.desk->token()](bool ok) {
+  barrier([this, k, born = s.desk->born()](bool ok) {
     Shard& me = shards_[k];
-    if (!me.desk || me.desk->token() != token || !me.desk->txn_out()) return;
+    if (!me.desk || me.desk->born() != born || !me.desk->txn_out()) return;
     if (!ok) {
       me.txn_retry = true;
       me.txn_after = loop_.now() + 0.3;
--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -11,6 +11,7 @@
 #include "fleet/desk.h"
 #include "net/http.h"
 #include "peer/peer.h"
+#include "shard/balance.h"
 #include "shard/ownership.h"
 #include "state/client.h"
 #include "state/world.h"
@@ -34,6 +35,7 @@
     wire::Txn txn;           // kept for that
     std::string tag;
     double txn_after = 0;
+    double gave_at = -1e9;
     std::string raise_tag;             // of the commit that raises the desk's own token
     std::map<std::string, Held> held;  // by machine: answers that wait for a commit
   };
@@ -56,7 +58,7 @@
   void send_direct(int shard);
   void move_done(int shard, const wire::Txn& t, state::CommitResult r);
   void pump(int shard);
-  void txn_done(int shard, std::uint64_t token, state::CommitResult r);
+  void txn_done(int shard, std::uint64_t born, state::CommitResult r);
   void txn_settled(int shard, bool applied, std::uint64_t revision);
   void apply_own(const wire::Txn& t, std::uint64_t revision);
   void turn();
@@ -83,6 +85,7 @@
   void flush_held(int shard);
   void internal(ExchangePtr ex);
   void peer_beats();
+  void share_out();
 
   // roster.cpp: which shard a machine belongs to
   void roster_pump();
@@ -115,7 +118,7 @@
   std::uint64_t boot_ = 0;  // the first hold's id: names this process
   std::uint64_t tags_ = 0, charters_ = 0;
 
-  bool types_busy_ = false, list_busy_ = false;
+  bool types_busy_ = false, list_busy_ = false, deleting_ = false;
   double types_at_ = -1e9, list_at_ = 0, rent_at_ = 0, peers_at_ = 0, log_at_ = 0;
   std::map<std::string, double> unknown_since_;  // listed machines without a record
   std::map<std::string, double> removed_;        // machines deleted lately
@@ -133,6 +136,11 @@
     bool serving = false;
   };
   std::vector<PeerNews> peer_news_;
+  struct LoadNews {
+    double at = -1e9;
+    shard::Load load;
+  };
+  std::vector<LoadNews> loads_;  // by shard
   std::uint64_t garbage_ = 0, submissions_ = 0, refused_ = 0;
 
   actor::Timer timer_, watch_timer_, barrier_timer_, turn_timer_;
--- a/src/front/machines.cpp
+++ b/src/front/machines.cpp
@@ -6,7 +6,8 @@
 namespace shunt::front {
 namespace {
 constexpr double kRentGap = 0.4;      // rents are gathered this long
-constexpr double kListGap = 6;        // between two reads of the machine list
+constexpr double kListGap = 6;        // between two reads of the machine list, at least
+constexpr double kListShare = 0.2;    // of this node's cloud calls that go into the list
 constexpr double kUnknownFor = 20;    // a listed machine without a record is adopted after this
 constexpr double kRemovedKept = 120;  // late reports of deleted machines are refused this long
 }  // namespace
@@ -31,28 +32,37 @@
   for (int k = 0; k < settings_.shards(); ++k) {
     Shard& s = shards_[k];
     if (!s.desk) continue;
-    std::uint64_t token = s.desk->token();
-    std::vector<std::string> back = s.desk->returns();
+    std::uint64_t born = s.desk->born();
+    // One deletion at a time: what leaves meanwhile goes with the next. Calls are scarcer than
+    // machines, and a call for every one that leaves would keep hundreds on the bill.
+    std::vector<std::string> back;
+    if (!deleting_) back = s.desk->returns();
     if (back.size() > 100) {
       for (std::size_t i = 100; i < back.size(); ++i) s.desk->return_failed(back[i]);
       back.resize(100);
     }
     if (!back.empty()) {
-      cloud_.remove(back, reply<bool>([this, k, token, back](bool ok) {
-                      Shard& me = shards_[k];
-                      if (!me.desk || me.desk->token() != token) return;
-                      for (const auto& name : back) {
-                        if (!ok) {
-                          me.desk->return_failed(name);
-                          continue;
-                        }
-                        removed_[name] = loop_.now();
-                        workers_.erase(name);
-                        if (auto h = me.held.find(name); h != me.held.end()) me.held.erase(h);
-                        me.desk->machine_gone(name, loop_.now());
-                      }
-                      stir();
-                    }));
+      deleting_ = true;
+      cloud_.remove(
+          back, reply<bool>([this, k, born, back](bool ok) {
+            deleting_ = false;
+            Shard& me = shards_[k];
+            bool here = me.desk && me.desk->born() == born;
+            for (const auto& name : back) {
+              if (!ok) {
+                if (here) me.desk->return_failed(name);
+                continue;
+              }
+              // Gone, whoever owns its shard by now.
+              removed_[name] = loop_.now();
+              roster_wishes_.insert_or_assign(
+                  name, fleet::RosterWish{fleet::RosterWish::drop, {name, {}, {}, false, 0, 0}});
+              workers_.erase(name);
+              if (auto h = me.held.find(name); h != me.held.end()) me.held.erase(h);
+              if (here) me.desk->machine_gone(name, loop_.now());
+            }
+            stir();
+          }));
     }
     if (!boot_) continue;
     for (const auto& w : s.desk->rent_wishes(now)) {
@@ -60,10 +70,10 @@
       std::string charter = "c-" + std::to_string(boot_) + "-" + std::to_string(++charters_);
       cloud_.rent(charter, catalogue_.types[w.tier / 2].spec.name, settings_.zones[w.zone],
                   w.tier % 2, static_cast<int>(w.machines.size()),
-                  reply<cloud::RentResult>([this, k, token, w](cloud::RentResult r) {
+                  reply<cloud::RentResult>([this, k, born, w](cloud::RentResult r) {
                     Shard& me = shards_[k];
                     // Machines rented for a desk that is closed report, and are adopted.
-                    if (!me.desk || me.desk->token() != token) return;
+                    if (!me.desk || me.desk->born() != born) return;
                     if (r.kind == cloud::RentResult::rented)
                       me.desk->rented(w, r.machines, loop_.now());
                     else
@@ -124,7 +134,9 @@
                   it = seen_listed_.erase(it);
                 }
                 list_busy_ = false;
-                list_at_ = now + kListGap;
+                double pages = 1 + static_cast<double>(list_now_.size()) / 500;
+                double share = settings_.cloud_rps / settings_.shards() * kListShare;
+                list_at_ = now + std::max(kListGap, pages / share);
               }));
 }
 
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -7,8 +7,10 @@
 
 namespace shunt::front {
 namespace {
-constexpr double kStartFresh = 5;  // a start needs a read of the state service at most this old
-}
+constexpr double kLoadFresh = 2.5;  // a shard's load is acted on for so long
+constexpr double kGiveGap = 2.5;    // what was given has to show before more is
+constexpr double kStartFresh = 5;   // a start needs a read of the state service at most this old
+}  // namespace
 
 void Controller::beat(ExchangePtr ex) {
   wire::Report r;
@@ -96,17 +98,13 @@
       return ex->send({400, "{}", 0});
     }
     peer_news_[b->node] = {loop_.now(), b->serving};
+    for (int k = 0; k < settings_.shards(); ++k)
+      if (const auto& l = b->loads[k]; l.owned)
+        loads_[k] = {loop_.now(), {l.capacity / 100.0, l.entitled / 100.0, l.demand / 100.0}};
     bool newer = false;
     for (int k = 0; k < settings_.shards(); ++k)
       newer |= shards_[k].desk && b->tokens[k] > shards_[k].desk->token();
     if (newer) barrier([this](bool) { shards(); });
-    auto most = std::max_element(b->wants.begin(), b->wants.end());
-    if (*most > 0)
-      for (int k = 0; k < settings_.shards(); ++k)
-        if (shards_[k].desk && !shards_[k].desk->wanted(loop_.now())) {
-          shards_[k].desk->give(static_cast<int>(most - b->wants.begin()), *most);
-          stir();
-        }
     return ex->send({200, "{}", 0});
   }
   if (ex->path == "/metrics" && !ex->post) {
@@ -131,10 +129,43 @@
   b.node = settings_.self;
   b.serving = fresh(3);
   for (int k = 0; k < settings_.shards(); ++k) b.tokens.push_back(world_.owner(k).stamp);
-  for (auto& s : shards_) b.wants.push_back(s.desk ? s.desk->wanted(loop_.now()) : 0);
+  double now = loop_.now();
+  for (int k = 0; k < settings_.shards(); ++k) {
+    peer::Beat::Load l;
+    if (auto& d = shards_[k].desk) {
+      loads_[k] = {now, d->load(now)};
+      auto whole = [](double x) {
+        return static_cast<std::uint32_t>(std::clamp(x, 0.0, 1e7) * 100);
+      };
+      const shard::Load& mine = loads_[k].load;
+      l = {whole(mine.capacity), whole(mine.entitled), whole(mine.demand), true};
+    }
+    b.loads.push_back(l);
+  }
   std::string body = peer::encode(b);
   for (auto& p : peers_)
     if (p) p->request("POST", "/peer/beat", body, 2, [](net::Result) {});
+  share_out();
+}
+
+// Machines go to the shards that lack them, as far as every shard's load is known.
+void Controller::share_out() {
+  double now = loop_.now();
+  std::vector<shard::Load> all;
+  for (const auto& l : loads_) {
+    if (now - l.at > kLoadFresh) return;
+    all.push_back(l.load);
+  }
+  for (int k = 0; k < settings_.shards(); ++k) {
+    Shard& s = shards_[k];
+    if (!s.desk || now < s.gave_at + kGiveGap) continue;
+    auto gifts = shard::gifts(all, k);
+    auto most = std::max_element(gifts.begin(), gifts.end());
+    if (*most <= 0) continue;
+    s.gave_at = now;
+    s.desk->give(static_cast<int>(most - gifts.begin()), *most, s.desk->starved(now));
+    stir();
+  }
 }
 
 }  // namespace shunt::front
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -50,6 +50,7 @@
   bool mark_done(std::uint32_t task);                                 // false if known already
   bool done(std::uint32_t task) const { return task < done_.size() && done_[task]; }
   bool persisted(std::uint32_t task) const { return task < persisted_.size() && persisted_[task]; }
+  std::uint32_t done_count() const { return done_count_; }
   bool complete() const { return !spec.service && done_count_ == spec.tasks; }
   std::vector<bool> chunk(std::uint32_t c) const;
   void set_persisted(std::uint32_t c, const std::vector<bool>& bits);
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -6,9 +6,13 @@
 
 namespace shunt::peer {
 
+template <class A>
+void serialize(A& a, Beat::Load& l) {
+  a(l.capacity, l.entitled, l.demand, l.owned);
+}
 template <class A>
 void serialize(A& a, Beat& b) {
-  a(b.version, b.node, b.serving, b.tokens, b.wants);
+  a(b.version, b.node, b.serving, b.tokens, b.loads);
 }
 
 std::string encode(const Beat& b) {
@@ -24,7 +28,7 @@
   // Byte order, version, node and serving, then two lists with their lengths. A length that
   // garbage claims is not allocated: the message's own must fit the cluster's.
   const auto n = static_cast<std::size_t>(nodes);
-  if (bytes.size() != 10 + 8 + 8 * n + 8 + 4 * n) return std::nullopt;
+  if (bytes.size() != 10 + 8 + 8 * n + 8 + 13 * n) return std::nullopt;
   Beat b;
   try {
     std::istringstream in(bytes, std::ios::binary);
@@ -38,8 +42,13 @@
     for (auto& t : b.tokens) a(t);
     a(count);
     if (count != n) return std::nullopt;
-    b.wants.resize(count);
-    for (auto& w : b.wants) a(w);
+    b.loads.resize(count);
+    for (auto& l : b.loads) {
+      std::uint8_t owned = 0;
+      a(l.capacity, l.entitled, l.demand, owned);
+      if (owned > 1) return std::nullopt;
+      l.owned = owned != 0;
+    }
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -9,12 +9,18 @@
 namespace shunt::peer {
 
 struct Beat {
-  std::uint32_t version = 2;
+  std::uint32_t version = 3;
   std::int32_t node = -1;
   bool serving = false;               // has read the state service lately
   std::vector<std::uint64_t> tokens;  // by shard, as it knows them
-  // By shard: machines that its work lacks and the cloud refuses. 0 unless this node owns it.
-  std::vector<std::uint32_t> wants;
+  // By shard: what it has, is entitled to and could use, in hundredths of a machine. Zero unless
+  // this node owns it.
+  struct Load {
+    std::uint32_t capacity = 0, entitled = 0, demand = 0;
+    bool owned = false;
+    friend bool operator==(const Load&, const Load&) = default;
+  };
+  std::vector<Load> loads;
 };
 
 std::string encode(const Beat& b);
--- /dev/null
+++ b/src/shard/balance.h
@@ -0,0 +1,22 @@
+// How machines are shared out among the shards: from what each has, is entitled to and could use.
+// Pure.
+#pragma once
+#include <vector>
+
+namespace shunt::shard {
+
+// In machines.
+struct Load {
+  double capacity = 0;  // up or booting, and staying
+  double entitled = 0;  // what its teams' unfinished work needs, within their guarantees
+  double demand = 0;    // the same, within their limits
+};
+
+// What each shard should have. While there is enough for all, nobody's surplus moves but to where
+// work lacks it; else guarantees come first, and the rest goes by what is asked beyond them.
+std::vector<double> targets(const std::vector<Load>& loads);
+
+// How many machines `from` should send to each other shard.
+std::vector<int> gifts(const std::vector<Load>& loads, int from);
+
+}  // namespace shunt::shard
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -152,11 +152,11 @@
   b.node = 2;
   b.serving = true;
   b.tokens = {1, std::uint64_t{1} << 50, 0};
-  b.wants = {0, 3, 0};
+  b.loads = {{1, 2, 3, true}, {}, {400, 0, 7, false}};
   auto c = peer::decode(peer::encode(b), 3);
   ASSERT_TRUE(c);
   EXPECT_EQ(c->tokens, b.tokens);
-  EXPECT_EQ(c->wants, b.wants);
+  EXPECT_EQ(c->loads, b.loads);
   EXPECT_TRUE(c->serving);
   EXPECT_FALSE(peer::decode(peer::encode(b), 4));
 }
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -188,7 +188,7 @@
   d.job(make_job(1, 1, 1));
   d.beat("m-1", 1);
   d.beat("m-2", 1);
-  d.desk->give(5, 2);
+  d.desk->give(5, 2, false);
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].kind, fleet::RosterWish::give);
@@ -241,6 +241,52 @@
   EXPECT_EQ(placed, 800u);
 }
 
+// After minutes of work every sheet holds things long over. Starts queued by thousands for the few
+// sheets that seemed empty, since the others were never looked into.
+TEST(Desk, WhatIsOverTakesNoRoomInSheets) {
+  OneDesk d;
+  d.s.teams[0].cpus_max = 1e6;
+  std::vector<wire::MachineRecord> fleet;
+  for (int i = 0; i < 100; ++i)
+    fleet.push_back({"m-" + std::to_string(100000 + i), "t4", "a", false, 0, 0});
+  d.store.commit(roster_txn(d.w, fleet));
+  d.read();
+  for (const auto& m : fleet) d.desk->machine_known(m, 0);
+  std::map<std::string, std::vector<wire::TaskReport>> there;
+  double now = 1;
+  std::size_t worst = 0;
+  for (int round = 0; round < 40; ++round, now += 4) {
+    d.job(make_job(round, 400, 1));
+    for (const auto& m : fleet) {
+      auto& tasks = there[m.name];
+      for (auto& t : tasks)  // one in four runs for long
+        if (t.task.index % 4 || t.attempt % 23 == 0)
+          t.state = wire::RunState::exited, t.why = wire::Why::done;
+      wire::Report r{m.name,  "10.0.0.1:1",    "t4", "a",  false, 1,
+                     ++d.seq, d.desk->token(), {},   tasks};
+      d.desk->report(r, now);
+    }
+    d.desk->turn(now);
+    std::size_t changes = 0;
+    while (auto txn = d.desk->next_txn(d.w, "t", now)) {
+      for (const auto& op : txn->ops) changes += op.key.starts_with("st/a/");
+      ASSERT_TRUE(d.store.commit(*txn));
+      std::vector<state::Change> ch;
+      d.store.read(d.w, ch);
+      d.desk->txn_applied(now);
+    }
+    worst = std::max(worst, changes);
+    for (const auto& m : fleet) {
+      ASSERT_FALSE(d.desk->awaits_commit(m.name)) << "round " << round;
+      std::erase_if(there[m.name], [](const auto& t) { return t.state == wire::RunState::exited; });
+      for (const auto& c : d.desk->orders(m.name, true, now))
+        if (c.op == wire::Command::Op::start)
+          there[m.name].push_back({c.task, c.attempt, wire::RunState::running, wire::Why::none});
+    }
+  }
+  EXPECT_LE(worst, 6u);
+}
+
 // Nothing may be placed on a machine that the roster does not hold: a new owner would not look
 // for it there.
 TEST(Desk, NothingIsPlacedOnAMachineBeforeTheRosterHoldsIt) {
