A machine that leaves lets go of starts it was never sent; sheet test made able to fail

They are released when the machine reports, unless a direct copy may be on its way. The test of sheets passed without pruning as first written; it fails without it now.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -575,6 +575,7 @@
   Machine* m = find(name);
   if (!m) return out;
   m->last_answer = now;
+  bool let_go = false;
   auto id = [](const Placement& p) { return wire::TaskId{p.job->spec.id, p.task}; };
   for (Placement& p : m->placements) {
     if (p.released) {
@@ -591,7 +592,14 @@
       continue;
     }
     if (p.phase == Phase::committed && !p.seen && !p.inherited && !p.sent) {
-      if (!fresh || m->leaving) continue;
+      if (!fresh) continue;
+      if (m->leaving && !p.loose) {
+        // Never sent, and it will not be: the task need not wait for this machine, nor the machine
+        // for the task. (A direct copy may still be on its way: that one is sent here as well.)
+        release(*m, p, now, true);
+        let_go = true;
+        continue;
+      }
       p.sent = true;
       p.sent_session = m->session;
       p.sent_seq = m->seq;
@@ -609,6 +617,12 @@
         *m->notice_s < p.job->spec.save_s + 2 * settings_.report_s)
       out.push_back({Command::Op::stop, id(p), p.attempt, stop_grace(*p.job)});
   }
+  if (let_go) {
+    std::erase_if(m->placements, [](const Placement& p) {
+      return p.released && !p.seen && !p.sent && !p.inherited && !p.loose;
+    });
+    note_idle(*m, now);
+  }
   for (const auto& t : m->strangers) {
     if (t.state != RunState::exited) {
       out.push_back({Command::Op::stop, t.task, t.attempt, 0});
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -259,8 +259,8 @@
     d.job(make_job(round, 400, 1));
     for (const auto& m : fleet) {
       auto& tasks = there[m.name];
-      for (auto& t : tasks)  // one in four runs for long
-        if (t.task.index % 4 || t.attempt % 23 == 0)
+      for (auto& t : tasks)  // one in forty runs for long
+        if (t.task.index % 40 || t.attempt % 23 == 0)
           t.state = wire::RunState::exited, t.why = wire::Why::done;
       wire::Report r{m.name,  "10.0.0.1:1",    "t4", "a",  false, 1,
                      ++d.seq, d.desk->token(), {},   tasks};
@@ -287,6 +287,23 @@
   EXPECT_LE(worst, 6u);
 }
 
+// A machine that was being emptied for another shard kept starts that it was never sent: it was
+// never empty, and the tasks never ran.
+TEST(Desk, AMachineThatLeavesLetsGoOfWhatItWasNotSent) {
+  OneDesk d;
+  d.machine("m-1");
+  d.beat("m-1", 1);
+  d.job(make_job(1, 2, 1));
+  d.commit(2);
+  d.desk->give(1, 1, true);
+  EXPECT_TRUE(d.beat("m-1", 3).empty());
+  auto wishes = d.desk->roster_wishes();
+  ASSERT_EQ(wishes.size(), 1u);
+  EXPECT_EQ(wishes[0].kind, fleet::RosterWish::give);
+  d.machine("m-2");
+  EXPECT_EQ(d.beat("m-2", 4).size(), 2u);
+}
+
 // Nothing may be placed on a machine that the roster does not hold: a new owner would not look
 // for it there.
 TEST(Desk, NothingIsPlacedOnAMachineBeforeTheRosterHoldsIt) {
