--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -486,6 +486,7 @@
   for (std::size_t i = erase.size(); i-- > 0;)
     if (erase[i]) m->placements.erase(m->placements.begin() + static_cast<long>(i));
   note_idle(*m, now);
+  pull_waiting(*m, now);
   plan(*m, now);
   preempt(*m, now);
   pull_waiting(*m, now);
--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -256,9 +256,10 @@
 
 // A machine reports room: tasks that wait on others enter the chain again, the more urgent and
 // longest-waiting first, each leaving its old list first (DESIGN point 2; here from every tier).
+// Before the machine's own list is through, only more urgent ones do: else room would go to low
+// work here while urgent tasks wait on machines that are full.
 void Desk::pull_waiting(Machine& m, double now) {
-  if (m.state != Machine::up || m.leaving || m.draining || m.avoid_until > now ||
-      !m.waiting.empty())
+  if (m.state != Machine::up || !m.rostered || m.leaving || m.draining || m.avoid_until > now)
     return;
   std::size_t walks = 0;
   const Job* misfit = nullptr;  // the same job's next task would not fit either
@@ -266,6 +267,7 @@
   while (next != waiting_.end() && walks < kPullsPerReport) {
     if (room(m).cpus <= 0) return;
     auto [key, number] = *next++;
+    if (!m.waiting.empty() && key.first >= m.waiting.front().key().first) return;
     Machine* from = at(number);
     if (!from || from == &m) continue;
     auto it = std::find_if(from->waiting.begin(), from->waiting.end(),
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -287,6 +287,47 @@
   EXPECT_LE(worst, 6u);
 }
 
+// Freed room went to idle work on that machine's own list while urgent tasks waited on other, full
+// machines: on a full fleet of hundreds they waited for minutes.
+TEST(Desk, RoomGoesToUrgentTasksThatWaitElsewhereFirst) {
+  OneDesk d;
+  d.s.teams[0].cpus_max = 1e6;
+  auto task_of = [](const wire::Command& c) {
+    return wire::TaskReport{c.task, c.attempt, wire::RunState::running, wire::Why::none};
+  };
+  std::map<std::string, std::vector<wire::TaskReport>> there;
+  for (std::string name : {"m-1", "m-2"}) {
+    d.machine(name);
+    d.beat(name, 1);
+  }
+  auto low = make_job(1, 30, 1);
+  low.spec.priority = wire::Priority::idle;
+  d.job(low);
+  for (std::string name : {"m-1", "m-2"}) {
+    for (const auto& c : d.beat(name, 2)) there[name].push_back(task_of(c));
+    ASSERT_EQ(there[name].size(), 4u);
+    d.beat(name, 3, there[name]);
+  }
+  for (const auto& w : d.desk->rent_wishes(3)) d.desk->refused(w, 0, true, 3);
+  d.desk->turn(3);
+  auto urgent = make_job(2, 4, 1);
+  urgent.spec.priority = wire::Priority::high;
+  d.job(urgent);
+  d.desk->turn(20);
+  // Whichever machine the urgent tasks joined, room on either goes to them.
+  std::size_t started = 0;
+  for (std::string name : {"m-1", "m-2"}) {
+    there[name][0].state = there[name][1].state = wire::RunState::exited;
+    there[name][0].why = there[name][1].why = wire::Why::done;
+    for (const auto& c : d.beat(name, 21, there[name]))
+      if (c.op == wire::Command::Op::start) {
+        EXPECT_EQ(c.task.job, urgent.spec.id);
+        ++started;
+      }
+  }
+  EXPECT_EQ(started, 4u);
+}
+
 // A machine that was being emptied for another shard kept starts that it was never sent: it was
 // never empty, and the tasks never ran.
 TEST(Desk, AMachineThatLeavesLetsGoOfWhatItWasNotSent) {
