--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -141,6 +141,7 @@
   std::string summary() const;
 
  private:
+  using Key = std::pair<wire::Priority, std::uint64_t>;  // order of service
   struct Item {
     jobs::JobPtr job;
     std::uint32_t task = 0;
@@ -148,7 +149,7 @@
     std::uint64_t order = 0;
     std::vector<chain::Step> trail;
     bool rented = false;
-    std::pair<wire::Priority, std::uint64_t> key() const { return {job->spec.priority, order}; }
+    Key key() const { return {job->spec.priority, order}; }
     static bool before(const Item& a, const Item& b) { return a.key() < b.key(); }
   };
   enum class Phase : std::uint8_t { planned, committing, committed };
@@ -253,7 +254,7 @@
   void admit(double now);
   bool enter(Item item, double now);  // false: stalled
   void join(Machine& m, Item item);
-  void plan(Machine& m, double now);
+  void plan(Machine& m, double now, std::optional<Key> up_to = std::nullopt);
   void preempt(Machine& m, double now);
   void pull_waiting(Machine& m, double now);
   void empty_list(Machine& m);  // its waiting tasks go back to pending
@@ -292,7 +293,7 @@
   std::vector<std::string> dropped_;                     // deleted: to leave the roster
   std::unordered_map<std::string, int> images_;
   // Every waiting task, the more urgent and then the older first, and the machine it waits on.
-  std::map<std::pair<wire::Priority, std::uint64_t>, int> waiting_;
+  std::map<Key, int> waiting_;
   std::vector<Sheet> sheets_;
   bool stirred_ = true;
   std::optional<Out> out_;
--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -126,8 +126,11 @@
             idle_.try_emplace(m.tier(), tuning_.idle_start_s, tuning_.lambda, tuning_.idle_cap);
         k.first->second.reused(now - m.idle_since, catalogue_.types[m.type].spec.boot_s);
       }
+      const auto key = item.key();
       join(m, std::move(item));
-      if (m.state == Machine::up) plan(m, now);
+      // No further than this task: what waits behind it must not take the room that other urgent
+      // tasks are just being pulled to.
+      if (m.state == Machine::up) plan(m, now, key);
       preempt(m, now);
       return true;
     }
@@ -179,12 +182,13 @@
 }
 
 // First come, first served within a priority, as far as the machine has room.
-void Desk::plan(Machine& m, double now) {
+void Desk::plan(Machine& m, double now, std::optional<Key> up_to) {
   if (m.state != Machine::up || !m.rostered || m.leaving || m.draining || m.avoid_until > now)
     return;
   for (std::size_t i = 0; i < m.waiting.size();) {
     Item& it = m.waiting[i];
     Job& j = *it.job;
+    if (up_to && it.key() > *up_to) break;
     if (!usable(m, j, now)) {
       // Its job's other tasks have bound it to another zone since it joined.
       Item back = std::move(it);
