Less work a change; a surplus is drained for shards that lack machines; /up without serving peers

Change: values within an answer are parsed once; direct orders look at machines that have something due; the machine table is dense; a shard's commits are 0.1 s apart.

--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -211,8 +211,10 @@
     Sheet& sheet = sheets_[static_cast<std::size_t>(write.sheet)];
     for (const Held& h : write.starts) {
       sheet.held.push_back(h);
-      if (Placement* p = placement(h); p && p->phase == Phase::committing)
-        p->phase = Phase::committed;
+      Placement* p = placement(h);
+      if (!p || p->phase != Phase::committing) continue;
+      p->phase = Phase::committed;
+      note_due(*at(h.machine));
     }
     for (auto& [j, c, bits] : write.done) {
       j->set_persisted(c, bits);
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -72,16 +72,23 @@
   return it == by_name_.end() ? nullptr : at(it->second);
 }
 Desk::Machine* Desk::at(int number) {
-  auto it = machines_.find(number);
-  return it == machines_.end() ? nullptr : it->second.get();
+  const auto n = static_cast<std::size_t>(number);
+  return n < by_number_.size() ? by_number_[n] : nullptr;
 }
 Desk::Machine& Desk::add_machine() {
   auto m = std::make_unique<Machine>();
   m->number = next_number_++;
   Machine& out = *m;
-  machines_[out.number] = std::move(m);
+  machines_.emplace_back(out.number, std::move(m));
+  by_number_.resize(static_cast<std::size_t>(next_number_), nullptr);
+  by_number_[static_cast<std::size_t>(out.number)] = &out;
   return out;
 }
+void Desk::note_due(Machine& m) {
+  if (m.due) return;
+  m.due = true;
+  due_.push_back(m.number);
+}
 
 Amount Desk::room(const Machine& m) const {
   return m.type < 0 ? Amount{} : catalogue_.types[m.type].room - m.used;
@@ -278,6 +285,7 @@
       }
       mine.held.push_back({m->number, p.job, p.task, p.attempt});
       m->greet = true;
+      note_due(*m);
       m->placements.push_back(std::move(p));
     }
   }
@@ -292,7 +300,9 @@
   }
   empty_list(*m);
   if (!m->name.empty()) by_name_.erase(m->name);
-  machines_.erase(number);
+  by_number_[static_cast<std::size_t>(number)] = nullptr;
+  machines_.erase(std::lower_bound(machines_.begin(), machines_.end(), number,
+                                   [](const auto& a, int n) { return a.first < n; }));
 }
 
 void Desk::machine_gone(const std::string& name, double now) {
@@ -498,7 +508,12 @@
                                         double now) {
   std::vector<Direct> out;
   if (!fresh) return out;
-  for (auto& [n, m] : machines_) {
+  std::vector<int> due;
+  due.swap(due_);
+  for (int n : due) {
+    Machine* m = at(n);
+    if (!m) continue;
+    m->due = false;
     if (m->greet && !m->direct_out && now >= m->greet_at && !m->addr.empty()) {
       // An order without commands: it shows the worker our token, so that no earlier owner's
       // command is carried out any more, and its answer shows what is there. The session is a
@@ -542,6 +557,7 @@
   Machine* m = find(d.machine);
   if (!m) return;
   m->direct_out = false;
+  note_due(*m);
   if (status == 409) m->greet_at = 0;
   for (const Command& c : d.commands)
     for (Placement& p : m->placements) {
@@ -639,7 +655,7 @@
 bool Desk::awaits_commit(const std::string& name) const {
   auto it = by_name_.find(name);
   if (it == by_name_.end()) return false;
-  const Machine& m = *machines_.at(it->second);
+  const Machine& m = *by_number_[static_cast<std::size_t>(it->second)];
   return std::any_of(m.placements.begin(), m.placements.end(),
                      [](const Placement& p) { return p.phase != Phase::committed; });
 }
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -132,10 +132,8 @@
 
   // What this shard has, is entitled to and could use.
   shard::Load load(double now) const;
-  // The cloud has had nothing at all for us lately.
-  bool starved(double now) const { return now - starved_at_ < kStarvedFor; }
   // Another shard lacks so many machines.
-  void give(int to, int machines, bool drain);
+  void give(int to, int machines);
   std::size_t machine_count() const { return by_name_.size(); }
   const Counters& counters() const { return count_; }
   std::string summary() const;
@@ -192,6 +190,7 @@
     std::uint64_t token = 0;  // as last reported
     bool token_seen = false;  // a report under our token has come
     bool direct_out = false;
+    bool due = false;    // has something to be sent directly
     bool greet = false;  // taken over: asked at once what is there, under our token
     double greet_at = 0;
     double rented_at = 0, last_report = 0, last_answer = 0, idle_since = 0;
@@ -231,6 +230,7 @@
   };
   Placement* placement(const Held& h);
   void prune_sheets();
+  void note_due(Machine& m);
   bool fill_sheet(int sheet, const state::World& w, std::vector<Held>& starts,
                   std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
                   wire::Txn& t, Out& out);
@@ -268,7 +268,6 @@
     return p.loose == 0 || m.token > p.loose;
   }
 
-  static constexpr double kStarvedFor = 15;
   const config::Settings& settings_;
   const config::Tuning& tuning_;
   const Catalogue& catalogue_;
@@ -276,13 +275,14 @@
   std::uint64_t token_;
   const std::uint64_t born_;
   double raised_at_ = -1e9;
-  double starved_at_ = -1e9;  // when the cloud last had nothing at all for us
   bool outranked_ = false;
   const double taken_at_;
   chain::Rng rng_;
   std::uint64_t next_attempt_ = 0, next_order_ = 0;
   int next_number_ = 1;
-  std::map<int, MachinePtr> machines_;  // in the order they were rented: the chain's order
+  // In the order they were rented: the chain's order.
+  std::vector<std::pair<int, MachinePtr>> machines_;
+  std::vector<Machine*> by_number_;  // null: gone
   std::unordered_map<std::string, int> by_name_;
   std::map<std::string, jobs::JobPtr> jobs_;
   std::unordered_map<std::string, int> classes_;
@@ -297,6 +297,7 @@
   // Every waiting task, the more urgent and then the older first, and the machine it waits on.
   std::map<Key, int> waiting_;
   std::vector<Sheet> sheets_;
+  std::vector<int> due_;
   bool stirred_ = true;
   std::optional<Out> out_;
   double last_heard_ = 0;
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -23,6 +23,7 @@
       if (m->waiting.empty() && !m->posted) withdrawn.push_back(n);
       continue;
     }
+    if (m->greet) note_due(*m);
     if (m->type < 0) continue;
     double boot = catalogue_.types[m->type].spec.boot_s;
     if (m->state == Machine::booting && m->placements.empty()) {
@@ -70,14 +71,6 @@
     }
   }
   for (int n : withdrawn) remove_machine(n, now);
-  bool rentable = false;
-  for (int tier : catalogue_.tier_order)
-    for (std::size_t z = 0; z < settings_.zones.size(); ++z) {
-      auto r = refused_until_.find({tier, static_cast<int>(z)});
-      rentable |=
-          catalogue_.types[tier / 2].in_zone[z] && (r == refused_until_.end() || r->second <= now);
-    }
-  if (!rentable) starved_at_ = now;
 }
 
 shard::Load Desk::load(double now) const {
@@ -107,9 +100,9 @@
   return out;
 }
 
-// Machines go to a shard whose work lacks them: idle ones at once, and, if no more are to be had
-// from the cloud, the emptiest ones as soon as their tasks are over.
-void Desk::give(int to, int machines, bool drain) {
+// Machines go to a shard whose work lacks them: idle ones at once, then the emptiest ones as soon
+// as their tasks are over. Work spread thinly over a surplus would leave hardly any machine idle.
+void Desk::give(int to, int machines) {
   for (const auto& [n, m] : machines_) machines -= m->giving >= 0;
   auto send = [&](Machine& m) {
     empty_list(m);
@@ -127,7 +120,7 @@
       busy.push_back(m.get());
     }
   }
-  if (!drain || machines <= 0) return;
+  if (machines <= 0) return;
   std::stable_sort(busy.begin(), busy.end(),
                    [](const Machine* a, const Machine* b) { return a->used.cpus < b->used.cpus; });
   for (Machine* m : busy) {
--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -281,6 +281,7 @@
     if (!i.job->need.fits(gained)) break;
     for (std::size_t k = 0; k < n; ++k) {
       victims[k]->stopping = true;
+      note_due(m);
       ++count_.preempted;
     }
     room_soon = gained - i.job->need;
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -7,6 +7,7 @@
 constexpr double kTick = 0.2;
 constexpr double kWatchGap = 0.15;    // between watches: changes come in bundles
 constexpr double kBarrierGap = 0.06;  // between reads that polls wait for
+constexpr double kCommitGap = 0.1;    // between two commits of a shard
 constexpr double kTurn = 0.04;        // what reports make possible is gathered so long
 constexpr int kWatchBlockMs = 1000;
 }  // namespace
@@ -431,7 +432,8 @@
 void Controller::apply_own(const wire::Txn& t, std::uint64_t revision) {
   std::vector<state::Change> changes;
   for (const auto& op : t.ops)
-    if (op.key.starts_with(state::kRoot)) world_.apply({op.key, op.value, revision}, changes);
+    if (op.key.starts_with(state::kRoot))
+      world_.apply({op.key, op.value, revision}, changes);
   changed(changes);
 }
 
@@ -440,7 +442,8 @@
   if (!s.desk || !loaded_) return;
   send_direct(k);
   double now = loop_.now();
-  if (s.moving || now < s.txn_after) return;
+  if (s.moving) return;
+  if (now < s.txn_after) return stir();
   if (s.txn_retry) {
     s.txn_retry = false;
   } else {
@@ -453,6 +456,8 @@
     if (!t) return;
     s.txn = std::move(*t);
   }
+  // Every controller reads every change: a little patience makes them fewer and fuller.
+  s.txn_after = now + kCommitGap;
   state_.commit(s.txn, state::Urgency::work, 5,
                 reply<state::CommitResult>([this, k, born = s.desk->born()](state::CommitResult r) {
                   txn_done(k, born, std::move(r));
--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -106,6 +106,7 @@
   std::map<std::string, std::unique_ptr<net::Client>> workers_;  // by address
   std::vector<Shard> shards_;
 
+  const double started_at_ = actor::Loop::now();
   bool loaded_ = false, loading_ = false, watching_ = false, barrier_out_ = false;
   double fresh_at_ = -1e9;  // when the latest successful read of the state service began
   double next_watch_ = 0, watch_fail_ = 0;
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kFinalsKept = 4000;
+constexpr double kPeersUnknown = 2.5;  // after a start
 constexpr double kSubmitWait = 1.0;  // a submission not committed by then is refused
 
 net::Answer later(double s = 1) { return {503, "{\"error\":\"not now\"}", s}; }
@@ -46,10 +47,11 @@
 void Controller::up(ExchangePtr ex) {
   double now = loop_.now();
   bool serving = fresh(4);
-  bool peer = false;
+  // Just started, it has not heard of the others yet.
+  bool peer = now - started_at_ < kPeersUnknown;
   for (const auto& n : peer_news_) peer |= n.serving && now - n.at < 3;
   // Taking this node out helps only if another one can serve.
-  bool ok = serving || (loaded_ && !peer);
+  bool ok = serving || !peer;
   ex->send(ok ? net::Answer{200, "{}", 0} : later());
 }
 
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -163,7 +163,7 @@
     auto most = std::max_element(gifts.begin(), gifts.end());
     if (*most <= 0) continue;
     s.gave_at = now;
-    s.desk->give(static_cast<int>(most - gifts.begin()), *most, s.desk->starved(now));
+    s.desk->give(static_cast<int>(most - gifts.begin()), *most);
     stir();
   }
 }
--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -78,7 +78,7 @@
   auto tomb = tombs_.find(e.key);
   if (tomb != tombs_.end() && tomb->second >= e.stamp) return;
   if (e.stamp <= revision_) return;
-  if (e.value) {
+  if (e.set()) {
     tombs_.erase(e.key);
     stamps_[e.key] = e.stamp;
     set(e, changes);
@@ -122,25 +122,25 @@
   try {
     switch (e.key[3]) {
       case 'j': {
-        jobs_[rest] = {wire::decode_job_record(*e.value), e.stamp};
+        jobs_[rest] = {wire::decode_job_record(e), e.stamp};
         changes.push_back({Change::job_set, rest, -1});
         break;
       }
       case 'm':
-        roster(std::atoi(rest.c_str()), wire::decode_roster(*e.value).machines, changes);
+        roster(std::atoi(rest.c_str()), wire::decode_roster(e).machines, changes);
         break;
       case 'a': {
         auto slash = rest.find('/');
         int shard = std::atoi(rest.c_str());
         if (slash == std::string::npos || shard < 0 || shard >= settings_.shards()) break;
-        sheets_[shard][std::atoi(rest.c_str() + slash + 1)] = wire::decode_sheet(
-            *e.value, [&](const std::string& t) { return settings_.team_index(t); });
+        sheets_[shard][std::atoi(rest.c_str() + slash + 1)] =
+            wire::decode_sheet(e, [&](const std::string& t) { return settings_.team_index(t); });
         break;
       }
       case 'o': {
         int shard = std::atoi(rest.c_str());
         if (shard < 0 || shard >= settings_.shards()) break;
-        auto r = wire::decode_owner_record(*e.value);
+        auto r = wire::decode_owner_record(e);
         owners_[shard] = {settings_.node_index(r.node), r.tag, e.stamp};
         changes.push_back({Change::owner, rest, shard});
         break;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -195,6 +195,19 @@
   }
 }
 
+// The value of an event, parsed once only.
+template <class F>
+auto of_value(const Event& e, F f) {
+  if (!e.parsed) return guarded(e.value ? std::string_view(*e.value) : std::string_view(), f);
+  try {
+    const json& j = *static_cast<const json*>(e.parsed.get());
+    if (!j.is_object()) throw Malformed("not an object");
+    return f(j);
+  } catch (const json::exception& x) {
+    throw Malformed(x.what());
+  }
+}
+
 }  // namespace
 
 bool valid_job_id(std::string_view id) {
@@ -399,15 +412,27 @@
   return "/watch?starts=" + prefix + "&after=" + std::to_string(after) +
          "&block_ms=" + std::to_string(block_ms);
 }
+namespace {
+// The answer is kept as long as its values are.
+template <class F>
+auto guarded_kept(std::string_view body, F f) {
+  try {
+    auto doc = std::make_shared<const json>(parse(body));
+    return f(*doc, [&doc](const json& v) { return std::shared_ptr<const void>(doc, &v); });
+  } catch (const json::exception& e) {
+    throw Malformed(e.what());
+  }
+}
+}  // namespace
 WatchAnswer decode_watch(std::string_view body) {
-  return guarded(body, [](const json& j) {
+  return guarded_kept(body, [](const json& j, auto keep) {
     WatchAnswer w;
     w.revision = whole(j, "ledger");
     for (const json& e : list(j, "events")) {
       Event ev;
       if (const json* k = find(e, "set")) {
         ev.key = as_text(*k, "set");
-        ev.value = need(e, "value").dump();
+        ev.parsed = keep(need(e, "value"));
       } else {
         ev.key = text(e, "drop");
       }
@@ -421,13 +446,13 @@
   return "/kv?starts=" + prefix + "&limit=1000" + (after.empty() ? "" : "&after=" + after);
 }
 KeyPage decode_keys(std::string_view body) {
-  return guarded(body, [](const json& j) {
+  return guarded_kept(body, [](const json& j, auto keep) {
     KeyPage p;
     p.revision = whole(j, "ledger");
     const json* more = find(j, "has_next");
     p.more = more && more->is_boolean() && more->get<bool>();
     for (const json& e : list(j, "entries"))
-      p.items.push_back({text(e, "k"), need(e, "value").dump(), whole(e, "stamp")});
+      p.items.push_back({text(e, "k"), std::nullopt, whole(e, "stamp"), keep(need(e, "value"))});
     return p;
   });
 }
@@ -442,8 +467,8 @@
   j["at"] = r.submitted_at;
   return j.dump();
 }
-JobRecord decode_job_record(std::string_view body) {
-  return guarded(body, [](const json& j) {
+JobRecord decode_job_record(const Event& e) {
+  return of_value(e, [](const json& j) {
     return JobRecord{job_of(j), as_number(need(j, "at"), "at", 0, 1e12)};
   });
 }
@@ -454,8 +479,8 @@
     machines[m.name] = json::array({m.type, m.zone, m.spot ? 1 : 0, m.shard, m.token});
   return json{{"w", r.tag}, {"m", std::move(machines)}}.dump();
 }
-RosterRecord decode_roster(std::string_view body) {
-  return guarded(body, [](const json& j) {
+RosterRecord decode_roster(const Event& e) {
+  return of_value(e, [](const json& j) {
     RosterRecord r;
     r.tag = text_or(j, "w", "");
     const json& machines = need(j, "m");
@@ -506,8 +531,8 @@
   }
   return json{{"w", r.tag}, {"b", base}, {"m", std::move(machines)}, {"j", std::move(jobs)}}.dump();
 }
-SheetRecord decode_sheet(std::string_view body, const TeamIndex& index) {
-  return guarded(body, [&](const json& j) {
+SheetRecord decode_sheet(const Event& e, const TeamIndex& index) {
+  return of_value(e, [&](const json& j) {
     SheetRecord r;
     r.tag = text_or(j, "w", "");
     std::uint64_t base = whole(j, "b");
@@ -571,8 +596,8 @@
 std::string encode_record(const OwnerRecord& r) {
   return json{{"node", r.node}, {"w", r.tag}}.dump();
 }
-OwnerRecord decode_owner_record(std::string_view body) {
-  return guarded(body, [](const json& j) {
+OwnerRecord decode_owner_record(const Event& e) {
+  return of_value(e, [](const json& j) {
     return OwnerRecord{text(j, "node"), text_or(j, "w", "")};
   });
 }
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -54,18 +54,18 @@
 
 // Values kept there
 std::string encode_record(const JobRecord& r);
-JobRecord decode_job_record(std::string_view text);
+JobRecord decode_job_record(const Event& e);
 // A team travels by name; the index is made at the door.
 using TeamIndex = std::function<int(const std::string&)>;
 using TeamName = std::function<std::string(int)>;
 std::string encode_record(const RosterRecord& r);
-RosterRecord decode_roster(std::string_view text);
+RosterRecord decode_roster(const Event& e);
 std::string encode_record(const SheetRecord& r, const TeamName& names);
-SheetRecord decode_sheet(std::string_view text, const TeamIndex& index);
+SheetRecord decode_sheet(const Event& e, const TeamIndex& index);
 std::string encode_record(const FinalRecord& r);
 FinalRecord decode_final_record(std::string_view text);
 std::string encode_record(const OwnerRecord& r);
-OwnerRecord decode_owner_record(std::string_view text);
+OwnerRecord decode_owner_record(const Event& e);
 // Finished tasks of one chunk as intervals relative to its start.
 Intervals intervals(const std::vector<bool>& bits);
 
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -1,6 +1,7 @@
 // What crosses the interfaces, in the field's terms. Wire names live in codec.cpp alone.
 #pragma once
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -74,11 +75,14 @@
   bool more = false;
 };
 
-// One change of a key: a value (JSON text), or none for a drop.
+// One change of a key: a value, or none for a drop. The value is JSON text, or, where it came
+// within a larger answer, what the codec has parsed already.
 struct Event {
   std::string key;
   std::optional<std::string> value;
   std::uint64_t stamp = 0;
+  std::shared_ptr<const void> parsed = nullptr;
+  bool set() const { return value.has_value() || parsed; }
 };
 struct WatchAnswer {
   std::uint64_t revision = 0;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -79,10 +79,12 @@
   attempt([](const std::string& s) { decode_keys(s); });
   attempt([](const std::string& s) { decode_types(s); });
   attempt([](const std::string& s) { decode_machines(s); });
-  attempt([](const std::string& s) { decode_sheet(s, [](const std::string&) { return 0; }); });
-  attempt([](const std::string& s) { decode_roster(s); });
+  attempt([](const std::string& s) {
+    decode_sheet({"", s, 0}, [](const std::string&) { return 0; });
+  });
+  attempt([](const std::string& s) { decode_roster({"", s, 0}); });
   attempt([](const std::string& s) { decode_final_record(s); });
-  attempt([](const std::string& s) { decode_job_record(s); });
+  attempt([](const std::string& s) { decode_job_record({"", s, 0}); });
 }
 
 RC_GTEST_PROP(Codec, FinishedSetsComeBack, (const std::vector<bool>& bits)) {
@@ -107,7 +109,7 @@
   for (int i = 0; i < n; ++i)
     r.jobs[i % 3].places.push_back({"m-" + std::to_string(i % 5), static_cast<std::uint32_t>(i),
                                     *rc::gen::inRange<std::uint64_t>(0, std::uint64_t{1} << 60)});
-  SheetRecord b = decode_sheet(encode_record(r, [](int t) { return std::to_string(t); }),
+  SheetRecord b = decode_sheet({"", encode_record(r, [](int t) { return std::to_string(t); }), 0},
                                [](const std::string& t) { return std::stoi(t); });
   RC_ASSERT(b.jobs.size() == r.jobs.size());
   RC_ASSERT(b.tag == r.tag);
@@ -131,14 +133,14 @@
   for (int i = 0; i < n; ++i)
     r.machines.push_back({"m-" + std::to_string(100000 + i), "t", "a", i % 2 == 0,
                           *rc::gen::inRange(0, 5), *rc::gen::inRange<std::uint64_t>(0, 1u << 30)});
-  RosterRecord b = decode_roster(encode_record(r));
+  RosterRecord b = decode_roster({"", encode_record(r), 0});
   RC_ASSERT(b.machines == r.machines);
   RC_ASSERT(b.tag == r.tag);
 }
 
 TEST(Codec, JobRecordsComeBack) {
   JobRecord r{decode_job(kGood), 12.5};
-  JobRecord b = decode_job_record(encode_record(r));
+  JobRecord b = decode_job_record({"", encode_record(r), 0});
   EXPECT_EQ(b.submitted_at, 12.5);
   EXPECT_EQ(encode_record(b), encode_record(r));
 }
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -188,7 +188,7 @@
   d.job(make_job(1, 1, 1));
   d.beat("m-1", 1);
   d.beat("m-2", 1);
-  d.desk->give(5, 2, false);
+  d.desk->give(5, 1);
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].kind, fleet::RosterWish::give);
@@ -373,7 +373,7 @@
   d.beat("m-1", 1);
   d.job(make_job(1, 2, 1));
   d.commit(2);
-  d.desk->give(1, 1, true);
+  d.desk->give(1, 1);
   EXPECT_TRUE(d.beat("m-1", 3).empty());
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
