A machine's warm images are known by its cache's size, not by the last eight

Cause: with 50 to 64 images and 50 GB caches the desk forgot what machines still had and counted warm machines as cold. Images are kept latest-used-last up to the type's local_gb.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -14,7 +14,8 @@
 using wire::Why;
 
 namespace {
-constexpr std::size_t kSheets = 48;  // of a shard: room for every placement a full fleet holds
+constexpr std::size_t kImagesKept = 8;  // where a type does not tell its cache
+constexpr std::size_t kSheets = 48;     // of a shard: room for every placement a full fleet holds
 // Time to save for what can.
 double stop_grace(const Job& j) { return j.spec.checkpoint_s > 0 ? j.spec.save_s + 1 : 0; }
 const double kPriorityWeight[wire::kPriorities] = {8, 4, 1, 0.5};
@@ -96,6 +97,20 @@
 bool Desk::warm(const Machine& m, int image) {
   return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
 }
+// A machine caches the most recently used images, as many as it has room for. Remembering fewer
+// would send tasks to fetch what lies ready elsewhere.
+void Desk::note_image(Machine& m, int image) {
+  if (!m.images.empty() && m.images.back() == image) return;
+  std::erase(m.images, image);
+  m.images.push_back(image);
+  const double room = m.type < 0 ? 0 : catalogue_.types[m.type].spec.cache_gb;
+  double sum = 0;
+  for (int i : m.images) sum += image_gb_[static_cast<std::size_t>(i)];
+  while (m.images.size() > (room > 0 ? 1 : kImagesKept) && (room <= 0 || sum > room)) {
+    sum -= image_gb_[static_cast<std::size_t>(m.images.front())];
+    m.images.erase(m.images.begin());
+  }
+}
 bool Desk::type_ok(const Job& j, int type, bool spot) const {
   if (type < 0 || (spot && !j.spec.spot)) return false;
   const auto& t = catalogue_.types[type];
@@ -128,6 +143,8 @@
   auto j =
       std::make_shared<Job>(r, team, cls, static_cast<int>(settings_.zones.size()), now, wall_now);
   j->image = images_.try_emplace(r.spec.image, static_cast<int>(images_.size())).first->second;
+  image_gb_.resize(images_.size());
+  image_gb_[static_cast<std::size_t>(j->image)] = r.spec.image_gb;
   for (const auto& [c, list] : done) j->load_done(c, list);
   jobs_[r.spec.id] = j;
   stirred_ = true;
@@ -462,10 +479,7 @@
       if (t.state == RunState::running && p.started == 0) p.started = now;
       if (t.state == RunState::exited && !p.released) exited(*m, p, now);
     }
-    if (t.state != RunState::exited && !p.job->gone && !warm(*m, p.job->image)) {
-      m->images.push_back(p.job->image);
-      if (m->images.size() > 8) m->images.erase(m->images.begin());
-    }
+    if (t.state != RunState::exited && !p.job->gone) note_image(*m, p.job->image);
   }
   // What the report does not show. A start sent in answer to report w is settled by any later
   // report: the worker has carried it out or dropped it before it reports again. Nothing is
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -202,7 +202,7 @@
     std::vector<Placement> placements;
     std::vector<Item> waiting;
     std::vector<wire::TaskReport> strangers;  // reported, but no placement of ours
-    std::vector<int> images;
+    std::vector<int> images;                  // as cached, the latest used last
     std::array<std::uint16_t, wire::kPriorities + 1> listed{};  // waiting, by band
     int tier() const { return 2 * type + (spot ? 1 : 0); }
   };
@@ -241,6 +241,7 @@
   void remove_machine(int number, double now);
   jobs::Amount room(const Machine& m) const;
   static bool warm(const Machine& m, int image);
+  void note_image(Machine& m, int image);
   bool type_ok(const jobs::Job& j, int type, bool spot) const;
   bool usable(const Machine& m, const jobs::Job& j, double now) const;
   bool quota_ok(const jobs::Job& j, bool with_waiting) const;
@@ -294,6 +295,7 @@
   std::map<int, double> last_returned_;                  // by tier: when a returned one went idle
   std::vector<std::string> dropped_;                     // deleted: to leave the roster
   std::unordered_map<std::string, int> images_;
+  std::vector<double> image_gb_;
   // Every waiting task, the more urgent and then the older first, and the machine it waits on.
   std::map<Key, int> waiting_;
   std::vector<Sheet> sheets_;
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -432,8 +432,7 @@
 void Controller::apply_own(const wire::Txn& t, std::uint64_t revision) {
   std::vector<state::Change> changes;
   for (const auto& op : t.ops)
-    if (op.key.starts_with(state::kRoot))
-      world_.apply({op.key, op.value, revision}, changes);
+    if (op.key.starts_with(state::kRoot)) world_.apply({op.key, op.value, revision}, changes);
   changed(changes);
 }
 
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kFinalsKept = 4000;
 constexpr double kPeersUnknown = 2.5;  // after a start
-constexpr double kSubmitWait = 1.0;  // a submission not committed by then is refused
+constexpr double kSubmitWait = 1.0;    // a submission not committed by then is refused
 
 net::Answer later(double s = 1) { return {503, "{\"error\":\"not now\"}", s}; }
 net::Answer no(int status, const std::string& why) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -318,6 +318,7 @@
       const json* spot = find(t, "market_price");
       m.spot_price = spot ? as_number(*spot, "market_price", 0) : m.price;
       m.boot_s = number(t, "startup_s", 0);
+      if (const json* cache = find(t, "local_gb")) m.cache_gb = as_number(*cache, "local_gb", 0);
       for (const json& z : list(t, "yards")) m.zones.push_back(as_text(z, "yards"));
       out.push_back(std::move(m));
     }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -63,6 +63,7 @@
   std::string name;
   double cpus = 0, gpus = 0, mem_gb = 0, price = 0, spot_price = 0, boot_s = 0;
   std::vector<std::string> zones;
+  double cache_gb = 0;  // for images; 0: not told
 };
 
 struct ListedMachine {
