--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,160 @@
+// A fleet of hundreds and an array of 3,000 tasks through a state service that takes few changes:
+// generated losses, a crash in the middle, a successor under a new token. The rules are checked,
+// and that commits and changes stay in proportion to what happened.
+#include <gtest/gtest.h>
+
+#include "standins.h"
+
+namespace shunt::test {
+namespace {
+
+class Fleet {
+ public:
+  explicit Fleet(unsigned seed) : rng_(seed), s_(make_settings()), c_(make_catalogue(s_)) {
+    s_.teams[0].cpus_max = 900;
+    std::vector<wire::MachineRecord> machines;
+    for (int i = 0; i < kMachines; ++i) {
+      Worker w;
+      w.name = "m-" + std::to_string(100000 + i);
+      w.zone = i % 2 ? "b" : "a";
+      machines.push_back({w.name, "t4", w.zone, true, 0, 0});
+      workers_.push_back(w);
+    }
+    store_.commit(roster_txn(world_, machines));
+    auto big = make_job(1, 3000, 1);
+    auto urgent = make_job(2, 40, 2);
+    urgent.spec.priority = wire::Priority::high;
+    for (const auto& j : {big, urgent}) {
+      jobs_[j.spec.id] = j.spec;
+      store_.commit({{}, {{state::job_key(j.spec.id), wire::encode_record(j), 0}}});
+    }
+    take();
+  }
+
+  void run() {
+    for (now_ = 1; now_ < 400 && !::testing::Test::HasFatalFailure(); now_ += 1) {
+      if (now_ == 40) desk_.reset(), txn_.reset();  // killed, a commit perhaps under way
+      if (now_ == 46) take();
+      step();
+      if (store_.stamp(state::final_key("run-100001")) &&
+          store_.stamp(state::final_key("run-100002")))
+        return;
+    }
+  }
+  double now() const { return now_; }
+  std::size_t changes() const { return changes_; }
+  std::size_t longest() const { return longest_; }
+  bool over() const { return store_.stamp(state::final_key("run-100001")) != 0; }
+
+  static constexpr int kMachines = 250;
+
+ private:
+  bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(rng_) < p; }
+
+  void sync() {
+    std::vector<state::Change> changes;
+    store_.read(world_, changes);
+    for (const auto& ch : changes)
+      if (desk_ && ch.kind == state::Change::job_gone) desk_->job_gone(ch.name, now_);
+  }
+  void take() {
+    store_.commit(
+        {{}, {{state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", "x"}), 0}}});
+    sync();
+    desk_ = std::make_unique<fleet::Desk>(s_, tuning_, c_, 0, world_.owner(0).stamp, now_, rng_());
+    for (const auto& [id, j] : world_.jobs())
+      desk_->job_added(j.record, 0, world_.done(id), now_, now_);
+    for (const auto& [name, m] : world_.machines()) desk_->machine_known(m, now_);
+    for (const auto& [k, sheet] : world_.sheets(0)) desk_->inherit(k, sheet, now_);
+  }
+  // Two commits a second at most, as a controller's share of a slow state service.
+  void commits() {
+    for (int i = 0; i < 2 && desk_; ++i) {
+      if (!txn_) txn_ = desk_->next_txn(world_, "t" + std::to_string(++tags_), now_);
+      if (!txn_) return;
+      if (chance(0.15)) return;  // refused: the same one again, later
+      for (const auto& op : txn_->ops) {
+        ++changes_;
+        if (op.value) longest_ = std::max(longest_, op.value->size());
+      }
+      ASSERT_LE(txn_->ops.size(), static_cast<std::size_t>(s_.txn_ops));
+      ASSERT_LE(txn_->guards.size(), static_cast<std::size_t>(s_.txn_ops) * 4);
+      ASSERT_TRUE(store_.commit(*txn_));
+      txn_.reset();
+      desk_->txn_applied(now_);
+      sync();
+    }
+  }
+  void step() {
+    if (desk_) {
+      desk_->tick(now_);
+      desk_->turn(now_);
+      for (auto& w : desk_->rent_wishes(now_)) desk_->refused(w, 0, true, now_);
+      for (auto& name : desk_->returns()) desk_->return_failed(name);
+    }
+    commits();
+    for (auto& w : workers_) {
+      w.lease(now_, s_.lease_s);
+      for (auto& t : w.tasks)
+        if (t.state != wire::RunState::exited && t.ends <= now_) {
+          t.state = wire::RunState::exited;
+          t.why = wire::Why::done;
+          done_.insert(t.id.job + "/" + std::to_string(t.id.index));
+        }
+      if (!desk_ || !chance(0.4) || chance(0.05)) continue;  // not yet, or lost
+      auto r = w.report();
+      if (r.token > desk_->token() || desk_->report(r, now_) != fleet::Desk::Heard::fresh) continue;
+      auto commands = desk_->orders(w.name, true, now_);
+      if (!chance(0.05)) w.obey(desk_->token(), commands, r.session, now_, now_, rng_);
+    }
+    check();
+  }
+  void check() {
+    std::set<std::string> there;
+    double cpus = 0;
+    for (const auto& w : workers_)
+      for (const auto& t : w.tasks) {
+        if (t.state == wire::RunState::exited) continue;
+        ASSERT_TRUE(there.insert(t.id.job + "/" + std::to_string(t.id.index)).second)
+            << "ran_twice at " << now_;
+        cpus += jobs_[t.id.job].cpus;
+      }
+    ASSERT_LE(cpus, 900 + 1e-9) << "quota at " << now_;
+    for (const auto& [id, spec] : jobs_)
+      if (store_.stamp(state::final_key(id))) {
+        for (std::uint32_t i = 0; i < spec.tasks; ++i)
+          ASSERT_TRUE(done_.contains(id + "/" + std::to_string(i))) << "not_done";
+      }
+  }
+
+  std::mt19937 rng_;
+  config::Settings s_;
+  config::Tuning tuning_;
+  fleet::Catalogue c_;
+  Store store_;
+  state::World world_{s_};
+  std::unique_ptr<fleet::Desk> desk_;
+  std::optional<wire::Txn> txn_;
+  std::vector<Worker> workers_;
+  std::map<std::string, wire::JobSpec> jobs_;
+  std::set<std::string> done_;
+  double now_ = 0;
+  int tags_ = 0;
+  std::size_t changes_ = 0, longest_ = 0;
+};
+
+TEST(FleetHistory, HundredsOfMachinesAndThousandsOfTasksWithFewChanges) {
+  for (unsigned seed = 1; seed <= 3; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Fleet f(seed);
+    f.run();
+    if (HasFatalFailure()) return;
+    EXPECT_TRUE(f.over()) << "after " << f.now() << " s";
+    // 3,040 starts and results: a change each would be 6,080.
+    EXPECT_LE(f.changes(), 600u);
+    EXPECT_LE(f.longest(), 4096u);
+  }
+}
+
+}  // namespace
+}  // namespace shunt::test
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,156 @@
+// The HTTP server and client over a real socket on loopback, with generated requests.
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+
+#include "net/http.h"
+
+namespace shunt::test {
+namespace {
+
+// A port that was free a moment ago.
+std::uint16_t free_port() {
+  int s = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t n = sizeof a;
+  if (bind(s, reinterpret_cast<sockaddr*>(&a), n) != 0) std::abort();
+  getsockname(s, reinterpret_cast<sockaddr*>(&a), &n);
+  close(s);
+  return ntohs(a.sin_port);
+}
+
+struct Echo {
+  actor::Loop loop;
+  config::Endpoint at{"127.0.0.1", free_port()};
+  std::vector<std::string> seen;
+  std::vector<net::ExchangePtr> held;
+  bool hold = false;
+  net::Server server{
+      loop, at, 64 * 1024, [this](net::ExchangePtr ex) {
+        seen.push_back(ex->body);
+        if (hold) {
+          held.push_back(ex);
+          return;
+        }
+        ex->send({ex->path == "/later" ? 503 : 200, ex->body, ex->path == "/later" ? 2.0 : 0.0});
+      }};
+  // Turns the loop until it is over, or has turned so often that it never will be.
+  bool until(const std::function<bool()>& over, int turns = 20000) {
+    for (int i = 0; i < turns && !over(); ++i) {
+      event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+      if (i > 200) usleep(100);
+    }
+    return over();
+  }
+  // What a peer that writes these bytes and reads to the end gets.
+  std::string raw(const std::string& bytes) {
+    int s = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(at.port);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(s, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS)
+      std::abort();
+    std::size_t sent = 0;
+    std::string got;
+    until(
+        [&] {
+          if (sent < bytes.size()) {
+            ssize_t n = send(s, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (n > 0) sent += static_cast<std::size_t>(n);
+            if (n < 0 && errno != EAGAIN && errno != ENOTCONN && errno != EINPROGRESS)
+              sent = bytes.size();
+            if (sent == bytes.size()) shutdown(s, SHUT_WR);
+          }
+          char buf[4096];
+          ssize_t n = recv(s, buf, sizeof buf, 0);
+          if (n > 0) got.append(buf, static_cast<std::size_t>(n));
+          return n == 0 || (n < 0 && errno != EAGAIN && errno != ENOTCONN);
+        },
+        1500);
+    close(s);
+    return got;
+  }
+};
+
+RC_GTEST_PROP(Net, BodiesArriveAsTheyWereSent, ()) {
+  Echo e;
+  net::Client client(e.loop, e.at, 3, 64);
+  auto bodies = *rc::gen::container<std::vector<std::string>>(
+      8, rc::gen::nonEmpty(rc::gen::arbitrary<std::string>()));
+  std::size_t answered = 0, wrong = 0;
+  for (const auto& b : bodies)
+    client.request("POST", "/x", b, 5, [&, b](net::Result r) {
+      ++answered;
+      wrong += r.status != 200 || r.body != b;
+    });
+  RC_ASSERT(e.until([&] { return answered == bodies.size(); }));
+  RC_ASSERT(wrong == 0u);
+}
+
+// Bytes that are no request end their own connection at most; the next request is served.
+RC_GTEST_PROP(Net, GarbageHarmsNobodyElse, (std::string bytes)) {
+  Echo e;
+  e.raw(bytes);
+  e.raw("POST /x HTTP/1.1\r\nContent-Length: 99\r\n\r\n" + bytes.substr(0, 50));
+  std::string good = e.raw("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi");
+  RC_ASSERT(good.find("200 OK") != std::string::npos);
+  RC_ASSERT(good.find("hi") != std::string::npos);
+}
+
+TEST(Net, ABodyThatIsTooLongIsRefusedAndTheServerGoesOn) {
+  Echo e;
+  std::string big(70 * 1024, 'x');
+  std::string got =
+      e.raw("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(big.size()) +
+            "\r\n\r\n" + big);
+  EXPECT_TRUE(e.seen.empty());
+  EXPECT_NE(got.find("413"), std::string::npos) << got.substr(0, 200);
+  EXPECT_NE(e.raw("GET /x HTTP/1.1\r\nHost: a\r\n\r\n").find("200 OK"), std::string::npos);
+}
+
+TEST(Net, ARefusalSaysWhenToComeBack) {
+  Echo e;
+  EXPECT_NE(e.raw("GET /later HTTP/1.1\r\nHost: a\r\n\r\n").find("Retry-After: 2"),
+            std::string::npos);
+}
+
+// A user that hangs up before its answer must not be written to, nor end the process.
+TEST(Net, AnAnswerToOneWhoHungUpIsDropped) {
+  Echo e;
+  e.hold = true;
+  e.raw("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  ASSERT_TRUE(e.until([&] { return e.held.size() == 1; }));
+  e.held[0]->send({200, "too late", 0});
+  e.held.clear();
+  e.hold = false;
+  EXPECT_NE(e.raw("GET /x HTTP/1.1\r\nHost: a\r\n\r\n").find("200 OK"), std::string::npos);
+}
+
+TEST(Net, AClientGivesUpOnAServerThatIsNotThere) {
+  actor::Loop loop;
+  net::Client client(loop, {"127.0.0.1", free_port()}, 1, 1);
+  int answers = 0, status = -1;
+  for (int i = 0; i < 3; ++i)
+    client.request("GET", "/x", "", 1, [&](net::Result r) {
+      ++answers;
+      status = r.status;
+    });
+  for (int i = 0; i < 20000 && answers < 3; ++i) {
+    event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+    usleep(100);
+  }
+  EXPECT_EQ(answers, 3);  // one over the queue's bound at once, the others when refused
+  EXPECT_EQ(status, 0);
+}
+
+}  // namespace
+}  // namespace shunt::test
