--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -154,8 +154,8 @@
   std::vector<std::pair<JobPtr, std::uint32_t>> dirty;
   bool due = false;
   for (auto& [id, j] : jobs_) {
-    if (!w.job(id)) continue;
     if (j->complete()) {
+      if (!w.job(id)) continue;
       if (out.finals.size() >= kFinalsPerTxn || t.ops.size() + 3 > ops) continue;
       wire::FinalRecord f;
       f.tasks = j->spec.tasks;
@@ -169,7 +169,7 @@
       out.finals.push_back(id);
       continue;
     }
-    if (j->dirty_chunks.empty()) continue;
+    if (j->dirty_chunks.empty() || !w.job(id)) continue;
     due |= now - j->dirty_since > kDoneWait;
     for (std::uint32_t c : j->dirty_chunks) dirty.emplace_back(j, c);
   }
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -300,6 +300,8 @@
   std::map<Key, int> waiting_;
   std::vector<Sheet> sheets_;
   std::vector<int> due_;
+  std::size_t noted_jobs_ = 0;
+  double noted_at_ = -1e9;
   bool stirred_ = true;
   std::optional<Out> out_;
   double last_heard_ = 0;
--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -17,6 +17,7 @@
 constexpr double kLittleWork = 8;  // what cannot save is stopped only before it has done more
 constexpr std::size_t kWalksPerTurn = 400;
 constexpr std::size_t kPullsPerReport = 32;
+constexpr double kNoteGap = 0.3;  // between two looks at the guarantees
 }  // namespace
 
 int Desk::pick_zone(const Job& j, int tier, double now) const {
@@ -156,7 +157,12 @@
 
 // New and returning tasks enter the chain: the more urgent job first, then the older one.
 void Desk::admit(double now) {
-  note_guarantees();
+  // A job that has come, or some work done, moves who is within a guarantee; not every turn does.
+  if (jobs_.size() != noted_jobs_ || now - noted_at_ > kNoteGap) {
+    noted_jobs_ = jobs_.size();
+    noted_at_ = now;
+    note_guarantees();
+  }
   std::vector<JobPtr> order;
   for (auto& [id, j] : jobs_)
     if (!j->pending.empty() && j->not_before <= now) order.push_back(j);
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -98,8 +98,8 @@
   if (auto f = finals_.find(id); f != finals_.end()) return final_answer(f->second);
   barrier([this, ex, id, counts, unknown, final_answer](bool ok) {
     if (!ok) return ex->send(later());
-    if (world_.job(id)) {
-      auto [done, running] = world_.progress(id, jobs::kChunk);
+    if (const auto* j = world_.job(id)) {
+      auto [done, running] = world_.progress(*j, jobs::kChunk);
       ex->send(
           {200,
            wire::encode_job_state(id, running ? wire::JobState::running : wire::JobState::queued,
@@ -233,7 +233,7 @@
         more = true;
         break;
       }
-      auto [done, on] = world_.progress(s.id, jobs::kChunk);
+      auto [done, on] = world_.progress(it->second, jobs::kChunk);
       list.push_back(
           {{"uid", s.id},
            {"consist", s.cls},
--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -59,17 +59,23 @@
         for (const auto& [c, list] : g->done) out[c].insert(out[c].end(), list.begin(), list.end());
   return out;
 }
-World::Progress World::progress(const std::string& id, std::uint32_t chunk_size) const {
-  std::set<std::uint64_t> done_tasks, placed;
+World::Progress World::progress(const JobEntry& j, std::uint32_t chunk_size) const {
+  const std::string& id = j.record.spec.id;
+  std::vector<bool> known(j.record.spec.tasks, false);  // done, or counted as placed
+  Progress out;
+  auto count = [&](std::uint64_t task, std::uint64_t& n) {
+    if (task >= known.size() || known[task]) return;
+    known[task] = true;
+    ++n;
+  };
   for (const auto& [c, list] : done(id))
     for (auto [a, b] : list)
-      for (std::uint64_t i = a; i <= b; ++i) done_tasks.insert(std::uint64_t{c} * chunk_size + i);
+      for (std::uint64_t i = a; i <= b; ++i) count(std::uint64_t{c} * chunk_size + i, out.done);
   for (const auto& shard : sheets_)
     for (const auto& [n, sheet] : shard)
       if (const auto* g = find(sheet, id))
-        for (const auto& p : g->places)
-          if (!done_tasks.contains(p.task)) placed.insert(p.task);
-  return {done_tasks.size(), placed.size()};
+        for (const auto& p : g->places) count(p.task, out.placed);
+  return out;
 }
 
 void World::apply(const wire::Event& e, std::vector<Change>& changes) {
--- a/src/state/world.h
+++ b/src/state/world.h
@@ -66,7 +66,7 @@
   struct Progress {
     std::uint64_t done = 0, placed = 0;
   };
-  Progress progress(const std::string& id, std::uint32_t chunk_size) const;
+  Progress progress(const JobEntry& j, std::uint32_t chunk_size) const;
   std::uint64_t garbage() const { return garbage_; }
 
  private:
