Jobs that await others, under keys that older versions read past; limits to come

A job that awaits others is kept under st/w/JOB until every awaited job's final record has been read as done; one transaction then moves it to st/j/JOB, where all versions look for what may start. So no version can start one too early, nothing that is counted by st/j counts what waits, and what a waiting job is called follows from those before it at any node. Jobs upstream take over the priority of what needs them. cluster.state.next is read; what is written fits it from the start.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -133,10 +133,22 @@
   s.cancel_s = number(w, "cluster.workers", "cancel_s", 1, 86400);
   if (s.cancel_s < s.lease_s + 5) bad("cluster.workers.cancel_s", "leaves no room above lease_s");
   const json& st = need(c, "cluster", "state");
-  s.state_rps = number(st, "cluster.state", "rps", 1);
-  s.state_write_rps = number(st, "cluster.state", "write_rps", 1);
-  s.value_kb = number(st, "cluster.state", "value_kb", 1, 64);
-  s.txn_ops = static_cast<int>(number(st, "cluster.state", "txn_ops", 4, 100000));
+  s.state_limits = {number(st, "cluster.state", "rps", 1),
+                    number(st, "cluster.state", "write_rps", 1),
+                    number(st, "cluster.state", "value_kb", 1, 64),
+                    static_cast<int>(number(st, "cluster.state", "txn_ops", 4, 100000))};
+  s.state_next = s.state_limits;
+  if (auto it = st.find("next"); it != st.end() && !it->is_null()) {
+    const std::string at = "cluster.state.next";
+    if (!it->is_object()) bad(at, "is not an object");
+    auto may = [&](const char* name, double now, double least, double most) {
+      return it->contains(name) ? number(*it, at, name, least, most) : now;
+    };
+    s.state_next = {may("rps", s.state_limits.rps, 1, 1e12),
+                    may("write_rps", s.state_limits.write_rps, 1, 1e12),
+                    may("value_kb", s.state_limits.value_kb, 1, 64),
+                    static_cast<int>(may("txn_ops", s.state_limits.txn_ops, 2, 100000))};
+  }
   const json& cl = need(c, "cluster", "cloud");
   s.cloud_rps = number(cl, "cluster.cloud", "rps", 0.01);
   s.list_lag_s = number(cl, "cluster.cloud", "list_lag_s", 0);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -36,8 +36,12 @@
   std::vector<std::string> zones;
   std::vector<Team> teams;
   double report_s = 3, lease_s = 20, cancel_s = 45;
-  double state_rps = 80, state_write_rps = 25, value_kb = 4;
-  int txn_ops = 12;
+  // What the state service takes, and what it will take from some moment on, without notice.
+  struct StateLimits {
+    double rps = 80, write_rps = 25, value_kb = 4;
+    int txn_ops = 12;
+  };
+  StateLimits state_limits, state_next;
   double cloud_rps = 2, list_lag_s = 3;
   double memory_mb = 100;
   int max_sockets = 1000;
--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -12,6 +12,7 @@
 constexpr double kDoneWait = 1.0;          // results wait so long for starts to share a change with
 constexpr std::size_t kSheetBytes = 5800;  // never longer, though values may be
 constexpr std::size_t kSheetsPerTxn = 3;
+constexpr std::size_t kSheetsMost = 512;
 constexpr std::size_t kFinalsPerTxn = 4;
 
 std::size_t digits(std::uint64_t n) {
@@ -44,13 +45,13 @@
 
 // Writes a sheet anew: what it holds and still matters, and as many of the starts and results as
 // it has room for. Its length is counted from above. False if there was room for nothing.
-bool Desk::fill_sheet(int index, const state::World& w, std::vector<Held>& starts,
+bool Desk::fill_sheet(int index, const state::World& w, const state::Room& size,
+                      std::vector<Held>& starts,
                       std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
                       wire::Txn& t, Out& out) {
   Sheet& sheet = sheets_[static_cast<std::size_t>(index)];
-  const std::size_t limit =
-      std::min(kSheetBytes, static_cast<std::size_t>(settings_.value_kb * 1024)) - 64;
-  const std::size_t max_guards = static_cast<std::size_t>(settings_.txn_ops) * 4 - 2;
+  const std::size_t limit = std::min(kSheetBytes, size.value_bytes) - 64;
+  const std::size_t max_guards = size.ops * 4 - 2;
   wire::SheetRecord r;
   r.tag = tag;
   Out::Write write;
@@ -97,6 +98,10 @@
     bytes += done_bytes(j, c);
     put_done(j, c);
   }
+  // Written when values could be larger. It stays as it is, so that no placement is unrecorded for
+  // a moment, until enough of what it holds is over; results that it holds and that have grown
+  // since go to another sheet.
+  if (bytes > limit) return false;
   const std::string key = state::sheet_key(shard_, index);
   bool added = false;
   std::size_t taken = 0;
@@ -142,11 +147,14 @@
   return true;
 }
 
-std::optional<wire::Txn> Desk::next_txn(const state::World& w, const std::string& tag, double now) {
+std::optional<wire::Txn> Desk::next_txn(const state::World& w, const state::Room& size,
+                                        const std::string& tag, double now) {
   if (out_) return std::nullopt;
   wire::Txn t;
   Out out;
-  const std::size_t ops = static_cast<std::size_t>(settings_.txn_ops);
+  const std::size_t ops = size.ops;
+  // Ends of jobs leave a change to the sheets where there is one to leave.
+  const std::size_t final_ops = ops > 2 ? 3 : 2;
   // Every key written is guarded by its own stamp, so that a transaction that is applied late,
   // or a second time, cannot be: and by the owner's, so that nobody else's is overwritten.
   t.guards.emplace_back(state::owner_key(shard_), token_);
@@ -156,7 +164,7 @@
   for (auto& [id, j] : jobs_) {
     if (j->complete()) {
       if (!w.job(id)) continue;
-      if (out.finals.size() >= kFinalsPerTxn || t.ops.size() + 3 > ops) continue;
+      if (out.finals.size() >= kFinalsPerTxn || t.ops.size() + final_ops > ops) continue;
       wire::FinalRecord f;
       f.tasks = j->spec.tasks;
       f.team = j->spec.team;
@@ -194,7 +202,13 @@
     std::size_t used = 0;
     for (std::size_t i : order) {
       if (used >= kSheetsPerTxn || t.ops.size() >= ops || (starts.empty() && dirty.empty())) break;
-      used += fill_sheet(static_cast<int>(i), w, starts, dirty, tag, t, out);
+      used += fill_sheet(static_cast<int>(i), w, size, starts, dirty, tag, t, out);
+    }
+    // All full, or too long for what a value may hold by now: one more.
+    if (!used && t.ops.size() < ops && (!starts.empty() || !dirty.empty()) &&
+        sheets_.size() < kSheetsMost) {
+      sheets_.emplace_back();
+      fill_sheet(static_cast<int>(sheets_.size()) - 1, w, size, starts, dirty, tag, t, out);
     }
   }
   if (t.ops.empty()) return std::nullopt;
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -171,6 +171,26 @@
   stirred_ = true;
 }
 
+void Desk::job_urgency(const std::string& id, wire::Priority priority, double due) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  const JobPtr j = it->second;
+  j->due = due;
+  if (j->priority == priority) return;
+  j->priority = priority;
+  // What waits on a list of its old band enters the chain again, in the new one.
+  for (auto& [n, m] : machines_) {
+    if (!j->listed) break;
+    std::erase_if(m->waiting, [&, at = m.get()](const Item& i) {
+      if (i.job != j) return false;
+      listed(*at, i, false);
+      to_pending(i);
+      return true;
+    });
+  }
+  stirred_ = true;
+}
+
 void Desk::requeue(const JobPtr& j, std::uint32_t task) {
   if (j->gone || j->done(task) || task >= j->spec.tasks) return;
   if (j->places[task] == 0) j->pending.insert(task);
@@ -372,12 +392,12 @@
   part(j.need.cpus, type.room.cpus);
   part(j.need.gpus, type.room.gpus);
   part(j.need.mem, type.room.mem);
-  double weight = kPriorityWeight[static_cast<int>(j.spec.priority)] * catalogue_.base_rate;
+  double weight = kPriorityWeight[static_cast<int>(j.priority)] * catalogue_.base_rate;
   double started = p.started > 0 ? p.started : now;
   double cost = rate * share * (now - started);
   if (p.item.rented) cost += rate * type.spec.boot_s;
   cost += tuning_.wait_weight * weight * std::max(0.0, started - p.item.since);
-  if (j.spec.deadline_s && now - j.since > *j.spec.deadline_s) cost += tuning_.late_weight * weight;
+  if (now > j.late) cost += tuning_.late_weight * weight;
   for (const auto& s : p.item.trail) s.learner->record(s.context, s.arm, cost);
 }
 
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -15,6 +15,7 @@
 #include "config/settings.h"
 #include "jobs/job.h"
 #include "shard/balance.h"
+#include "state/limits.h"
 #include "state/world.h"
 #include "wire/types.h"
 
@@ -79,6 +80,8 @@
                  const std::map<std::uint32_t, state::Intervals>& done, double now,
                  double wall_now);
   void job_gone(const std::string& id, double now);
+  // Jobs that need it have come, or gone.
+  void job_urgency(const std::string& id, wire::Priority priority, double due);
   void machine_known(const wire::MachineRecord& r, double now);
   // A sheet of the shard as the takeover found it: all its placements may exist.
   void inherit(int sheet, const wire::SheetRecord& r, double now);
@@ -110,7 +113,8 @@
   void raise(std::uint64_t token, double now);
 
   // Group commit: at most one transaction is out at a time.
-  std::optional<wire::Txn> next_txn(const state::World& w, const std::string& tag, double now);
+  std::optional<wire::Txn> next_txn(const state::World& w, const state::Room& size,
+                                    const std::string& tag, double now);
   void txn_applied(double now);
   void txn_failed(double now);
   bool txn_out() const { return out_.has_value(); }
@@ -231,9 +235,9 @@
   Placement* placement(const Held& h);
   void prune_sheets();
   void note_due(Machine& m);
-  bool fill_sheet(int sheet, const state::World& w, std::vector<Held>& starts,
-                  std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
-                  wire::Txn& t, Out& out);
+  bool fill_sheet(int sheet, const state::World& w, const state::Room& size,
+                  std::vector<Held>& starts, std::vector<std::pair<JobPtr, std::uint32_t>>& dirty,
+                  const std::string& tag, wire::Txn& t, Out& out);
 
   Machine* find(const std::string& name);
   Machine* at(int number);
--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -271,12 +271,12 @@
       if (p.job->spec.checkpoint_s <= 0 && p.started != 0 && now - p.started >= kLittleWork)
         continue;
       if (guaranteed ? p.job->team != i.job->team && !p.job->within && beyond(p.job->team)
-                     : p.job->spec.priority > i.job->spec.priority)
+                     : p.job->priority > i.job->priority)
         victims.push_back(&p);
     }
     std::sort(victims.begin(), victims.end(), [&](const Placement* a, const Placement* b) {
       auto rank = [](const Placement* p) {
-        return std::tuple(-static_cast<int>(p->job->spec.priority), p->job->spec.checkpoint_s == 0,
+        return std::tuple(-static_cast<int>(p->job->priority), p->job->spec.checkpoint_s == 0,
                           -p->started);
       };
       return rank(a) < rank(b);
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -184,16 +184,21 @@
       case state::Change::node:
         owners = true;
         break;
+      case state::Change::waiting_set:
+      case state::Change::waiting_gone:
+        pipelines_.note(c.name);
+        break;
       case state::Change::job_set: {
+        pipelines_.note(c.name);
         const auto* j = world_.job(c.name);
         if (!j) break;
         int team = settings_.team_index(j->record.spec.team);
         if (team < 0) break;
-        if (auto& d = shards_[settings_.team_shard[team]].desk)
-          d->job_added(j->record, team, world_.done(c.name), now, loop_.wall_now());
+        if (auto& d = shards_[settings_.team_shard[team]].desk) add_job(*d, c.name, *j, team);
         break;
       }
       case state::Change::job_gone:
+        pipelines_.note(c.name);
         for (auto& s : shards_)
           if (s.desk) s.desk->job_gone(c.name, now);
         break;
@@ -213,7 +218,9 @@
         break;
       }
       case state::Change::machine_gone:
-        // Only what the cloud has deleted leaves the roster.
+        // Only what the cloud has deleted leaves the roster, or what has gone on to another part of
+        // its page: such a machine is still there, and so are its tasks.
+        if (world_.machine(c.name)) break;
         for (auto& s : shards_)
           if (s.desk) s.desk->machine_moved(c.name, now);
         break;
@@ -221,6 +228,7 @@
         break;
     }
   }
+  note_urgencies();
   if (owners) shards();
   if (!changes.empty()) stir();
 }
@@ -234,6 +242,7 @@
 void Controller::turn() {
   turn_armed_ = false;
   double now = loop_.now();
+  advance_pipelines();
   for (int k = 0; k < settings_.shards(); ++k) {
     if (!shards_[k].desk) continue;
     if (shards_[k].desk->stirred()) shards_[k].desk->turn(now);
@@ -357,8 +366,7 @@
                                          token * 2654435761u + 17);
   for (const auto& [id, j] : world_.jobs()) {
     int team = settings_.team_index(j.record.spec.team);
-    if (team >= 0 && settings_.team_shard[team] == k)
-      s.desk->job_added(j.record, team, world_.done(id), now, loop_.wall_now());
+    if (team >= 0 && settings_.team_shard[team] == k) add_job(*s.desk, id, j, team);
   }
   for (const auto& [name, m] : world_.machines()) {
     if (m.shard != k) continue;
@@ -451,7 +459,7 @@
     // that came from another shard would stand idle until it was.
     if (s.desk->wants_raise(now)) return shards();
     s.tag = next_tag();
-    auto t = s.desk->next_txn(world_, s.tag, now);
+    auto t = s.desk->next_txn(world_, state_.limits().room(), s.tag, now);
     if (!t) return;
     s.txn = std::move(*t);
   }
@@ -470,9 +478,11 @@
     case state::CommitResult::applied:
       txn_settled(k, true, r.revision);
       return;
-    case state::CommitResult::guard_failed: {
-      // Either a guard has changed under us, or this is the second copy of a transaction whose
-      // first answer was lost: the tag on what it wrote tells.
+    case state::CommitResult::guard_failed:
+    case state::CommitResult::too_large: {
+      // Either a guard has changed under us, or the limits have fallen, or this is the second copy
+      // of a transaction whose first answer was lost: the tag on what it wrote tells. What was not
+      // carried out is made anew, in a size that is taken now.
       const wire::Txn::Op* set = nullptr;
       for (const auto& op : s.txn.ops)
         if (op.value) set = &op;
--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -9,6 +9,7 @@
 #include "actor/loop.h"
 #include "cloud/cloud.h"
 #include "fleet/desk.h"
+#include "jobs/pipelines.h"
 #include "net/http.h"
 #include "peer/peer.h"
 #include "shard/balance.h"
@@ -73,11 +74,23 @@
   void withdraw(ExchangePtr ex, const std::string& id, int tries);
   void team(ExchangePtr ex, const std::string& name);
   void answer_state(ExchangePtr ex, const std::string& id, bool counts,
-                    std::function<void()> unknown);
+                    std::function<void()> unknown, int tries = 3);
+  void check_awaits(ExchangePtr ex, wire::JobRecord r, int look);
+  void accept(ExchangePtr ex, const wire::JobRecord& r, bool cancelled);
   void up(ExchangePtr ex);
   int never_runs(const wire::JobSpec& s) const;  // 0: can run; else the status
   void remember_final(const std::string& id, const wire::FinalRecord& f);
 
+  // pipelines.cpp: jobs that await others
+  enum class Final { found, none, not_read };
+  void read_final(const std::string& id, std::function<void(Final)> then);
+  void read_finals(const std::vector<std::string>& ids, std::function<void(bool)> then);
+  void add_job(fleet::Desk& desk, const std::string& id, const state::JobEntry& j, int team);
+  void note_urgencies();
+  void advance_pipelines();
+  void move_waiting(bool ready);
+  bool mine_to_move(const std::string& id, double patience);
+
   // workers.cpp
   void beat(ExchangePtr ex);
   void adopt(const wire::MachineRecord& found);
@@ -130,6 +143,17 @@
   std::unordered_map<std::string, std::string> addrs_;  // of machines, as last listed or reported
   std::map<std::string, int> missing_;
 
+  jobs::Pipelines pipelines_{world_};
+  std::set<std::string> reading_;                       // final records on their way
+  std::unordered_map<std::string, double> move_since_;  // waiting jobs to be moved, since when
+  struct Mover {
+    bool out = false;
+    double after = 0;
+    std::uint64_t moved = 0;
+  };
+  Mover readier_, ender_;
+  double read_after_ = 0;
+
   std::unordered_map<std::string, wire::FinalRecord> finals_;
   std::deque<std::string> finals_order_;
   struct PeerNews {
--- a/src/front/roster.cpp
+++ b/src/front/roster.cpp
@@ -1,5 +1,7 @@
 // The roster: which shard each machine belongs to. Its pages are shared by all nodes, so every
 // write is guarded by its page's stamp, and what failed is decided anew from what is there then.
+#include "shard/roster.h"
+
 #include <spdlog/spdlog.h>
 
 #include "front/controller.h"
@@ -43,40 +45,38 @@
   wire::Txn t;
   std::map<int, std::vector<std::string>> pages;
   for (const auto& [name, w] : roster_wishes_) pages[state::roster_page(name)].push_back(name);
-  std::string tag = next_tag();
-  auto guard = [&](const std::string& key, std::uint64_t stamp) {
-    if (std::none_of(t.guards.begin(), t.guards.end(),
-                     [&](const auto& g) { return g.first == key; }))
-      t.guards.emplace_back(key, stamp);
-  };
+  const std::string tag = next_tag();
+  const state::Room size = state_.limits().present();
   for (const auto& [page, names] : pages) {
-    if (t.ops.size() >= kPagesPerTxn) break;
-    std::map<std::string, wire::MachineRecord> here;
-    for (auto& m : world_.roster(page)) here.emplace(m.name, m);
+    if (t.ops.size() >= std::min(kPagesPerTxn, size.ops)) break;
+    shard::RosterPage here(world_, page);
+    std::vector<std::pair<std::string, std::uint64_t>> owners;
     bool changed = false;
     for (const auto& name : names) {
       const fleet::RosterWish& w = roster_wishes_.at(name);
-      auto it = here.find(name);
+      const wire::MachineRecord* m = here.find(name);
       bool over = false;
       switch (w.kind) {
         case fleet::RosterWish::add:
-          over = it != here.end();  // here already, perhaps as another's
-          if (!over) here.emplace(name, w.machine);
+          over = m != nullptr;  // here already, perhaps as another's
+          if (!over) here.set(w.machine);
           break;
         case fleet::RosterWish::drop:
-          over = it == here.end();
-          if (!over) here.erase(it);
+          over = m == nullptr;
+          if (!over) here.drop(name);
           break;
         case fleet::RosterWish::give: {
           // Only its shard's owner gives a machine away, and only while it is the owner.
-          over = it == here.end() || it->second.shard == w.machine.shard;
+          over = !m || m->shard == w.machine.shard;
           if (over) break;
-          auto& giver = shards_[it->second.shard].desk;
+          auto& giver = shards_[m->shard].desk;
           over = !giver || !giver->has_machine(name);
           if (over) break;
-          guard(state::owner_key(it->second.shard), giver->token());
-          it->second.shard = w.machine.shard;
-          it->second.token = giver->token();
+          owners.emplace_back(state::owner_key(m->shard), giver->token());
+          wire::MachineRecord given = *m;
+          given.shard = w.machine.shard;
+          given.token = giver->token();
+          here.set(given);
           break;
         }
       }
@@ -86,15 +86,18 @@
         changed = true;
     }
     if (!changed) continue;
-    const std::string key = state::roster_key(page);
-    guard(key, world_.stamp(key));
-    wire::RosterRecord r;
-    r.tag = tag;
-    for (auto& [name, m] : here) r.machines.push_back(std::move(m));
-    t.ops.push_back(
-        {key,
-         r.machines.empty() ? std::nullopt : std::optional<std::string>(wire::encode_record(r)),
-         0});
+    wire::Txn mine = here.changes(size.value_bytes, tag);
+    for (const auto& g : owners)
+      if (std::find(mine.guards.begin(), mine.guards.end(), g) == mine.guards.end())
+        mine.guards.push_back(g);
+    // A page that has to be parted takes several changes; another one may have room beside it.
+    if (t.ops.size() + mine.ops.size() > size.ops ||
+        t.guards.size() + mine.guards.size() > size.ops * 4)
+      continue;
+    for (auto& g : mine.guards)
+      if (std::find(t.guards.begin(), t.guards.end(), g) == t.guards.end())
+        t.guards.push_back(std::move(g));
+    for (auto& op : mine.ops) t.ops.push_back(std::move(op));
   }
   if (t.ops.empty()) return;
   roster_out_ = true;
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -108,12 +108,20 @@
     return ex->send({200, "{}", 0});
   }
   if (ex->path == "/metrics" && !ex->post) {
+    const auto cost = state_.cost();
     nlohmann::json j = {{"node", settings_.node},
                         {"revision", world_.revision()},
                         {"jobs", world_.jobs().size()},
                         {"machines", world_.machines().size()},
                         {"submissions", submissions_},
                         {"refused", refused_},
+                        {"waiting", world_.waiting().size()},
+                        {"made_ready", readier_.moved},
+                        {"ended_with_others", ender_.moved},
+                        {"state_429", cost.refused},
+                        {"state_too_large", state_.limits().refusals()},
+                        {"state_waited_s", cost.waited_s},
+                        {"state_write_rate", cost.write_rate},
                         {"garbage", garbage_ + world_.garbage()},
                         {"desks", nlohmann::json::array()}};
     for (const auto& s : shards_)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,7 @@
 // A live job as its shard's owner sees it. Pure.
 #pragma once
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,15 +43,19 @@
   const int team;
   const int cls;
   const Amount need;
-  const double since;  // steady time of its submission
-  bool gone = false;   // cancelled or final: none of its tasks may start
-  int image = -1;      // dense index of its image
+  const double since;  // steady time of its submission, or of when it was ready
+  const double late;   // steady time of its own deadline, which counts from its submission
+  // Its own, or that of a job that needs it.
+  wire::Priority priority;
+  double due;         // steady time by which it should be done, for its own sake or theirs
+  bool gone = false;  // cancelled or final: none of its tasks may start
+  int image = -1;     // dense index of its image
   // It fits into its team's guarantee together with the team's earlier unfinished jobs.
   bool within = false;
   // Order of service: urgent work, then what is guaranteed, then the rest by priority.
   int band() const {
-    if (spec.priority <= wire::Priority::high) return static_cast<int>(spec.priority);
-    return within ? kGuaranteed : static_cast<int>(spec.priority) + 1;
+    if (priority <= wire::Priority::high) return static_cast<int>(priority);
+    return within ? kGuaranteed : static_cast<int>(priority) + 1;
   }
   static constexpr int kGuaranteed = static_cast<int>(wire::Priority::high) + 1;
 
--- /dev/null
+++ b/src/shard/roster.cpp
@@ -0,0 +1,92 @@
+#include "shard/roster.h"
+
+#include <algorithm>
+
+#include "wire/codec.h"
+
+namespace shunt::shard {
+namespace {
+bool by_name(const wire::MachineRecord& a, const wire::MachineRecord& b) { return a.name < b.name; }
+}  // namespace
+
+RosterPage::RosterPage(const state::World& world, int page) : world_(world), page_(page) {
+  for (int i = 0; i < state::kRosterParts; ++i) {
+    int n = state::roster_part(page, i);
+    // Parts are begun in order; one may have been emptied since.
+    if (i > 0 && !world.stamp(state::roster_key(n))) continue;
+    parts_.resize(static_cast<std::size_t>(i) + 1);
+    parts_.back().machines = world.roster(n);
+    std::sort(parts_.back().machines.begin(), parts_.back().machines.end(), by_name);
+  }
+}
+
+const wire::MachineRecord* RosterPage::find(const std::string& name) const {
+  for (const Part& p : parts_)
+    for (const auto& m : p.machines)
+      if (m.name == name) return &m;
+  return nullptr;
+}
+
+void RosterPage::put(std::size_t part, const wire::MachineRecord& m) {
+  if (part >= parts_.size()) parts_.resize(part + 1);
+  Part& p = parts_[part];
+  p.machines.insert(std::upper_bound(p.machines.begin(), p.machines.end(), m, by_name), m);
+  p.changed = true;
+}
+
+void RosterPage::set(const wire::MachineRecord& m) {
+  for (Part& p : parts_)
+    for (auto& old : p.machines)
+      if (old.name == m.name) {
+        old = m;
+        p.changed = true;
+        return;
+      }
+  put(0, m);
+}
+
+void RosterPage::drop(const std::string& name) {
+  for (Part& p : parts_)
+    if (std::erase_if(p.machines, [&](const auto& m) { return m.name == name; })) p.changed = true;
+}
+
+wire::Txn RosterPage::changes(std::size_t value_bytes, const std::string& tag) {
+  wire::Txn t;
+  const std::size_t begun = parts_.size();
+  auto text = [&](const Part& p) {
+    return wire::encode_record(wire::RosterRecord{tag, p.machines});
+  };
+  for (std::size_t i = 0; i < parts_.size(); ++i)
+    while (parts_[i].changed && parts_[i].machines.size() > 1 &&
+           text(parts_[i]).size() > value_bytes) {
+      wire::MachineRecord m = std::move(parts_[i].machines.back());
+      parts_[i].machines.pop_back();
+      // Into another part that has room, or the next one.
+      std::size_t to = 0;
+      for (; to < parts_.size(); ++to) {
+        if (to == i) continue;
+        Part with = parts_[to];
+        with.machines.push_back(m);
+        if (text(with).size() <= value_bytes) break;
+      }
+      if (to >= static_cast<std::size_t>(state::kRosterParts)) return {};
+      put(to, m);
+    }
+  // Further parts come first: whoever reads change by change sees no machine leave.
+  for (std::size_t i = parts_.size(); i-- > 0;) {
+    const std::string key = state::roster_key(state::roster_part(page_, static_cast<int>(i)));
+    t.guards.emplace_back(key, world_.stamp(key));
+    if (!parts_[i].changed) continue;
+    t.ops.push_back(
+        {key,
+         parts_[i].machines.empty() ? std::nullopt : std::optional<std::string>(text(parts_[i])),
+         0});
+  }
+  if (parts_.size() == begun && begun < static_cast<std::size_t>(state::kRosterParts)) {
+    const std::string next = state::roster_key(state::roster_part(page_, static_cast<int>(begun)));
+    t.guards.emplace_back(next, 0);
+  }
+  return t;
+}
+
+}  // namespace shunt::shard
--- /dev/null
+++ b/src/shard/roster.h
@@ -0,0 +1,35 @@
+// A page of the roster as a set of machines, kept in one value or in several parts. Pure.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "state/world.h"
+#include "wire/types.h"
+
+namespace shunt::shard {
+
+class RosterPage {
+ public:
+  RosterPage(const state::World& world, int page);
+  const wire::MachineRecord* find(const std::string& name) const;
+  void set(const wire::MachineRecord& m);  // added, or changed where it is
+  void drop(const std::string& name);
+  // What has to be written, no value longer than `value_bytes`. A part that has become too long
+  // gives what does not fit to others in the same transaction, so that no machine is unrecorded
+  // for a moment. Every part is guarded, the next one that could be begun too: else two nodes
+  // could enter the same machine into two of them.
+  wire::Txn changes(std::size_t value_bytes, const std::string& tag);
+
+ private:
+  struct Part {
+    std::vector<wire::MachineRecord> machines;  // by name
+    bool changed = false;
+  };
+  void put(std::size_t part, const wire::MachineRecord& m);
+
+  const state::World& world_;
+  int page_;
+  std::vector<Part> parts_;
+};
+
+}  // namespace shunt::shard
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -9,12 +9,22 @@
   at_ = std::max(at_, now);
 }
 
+void Bucket::set_rate(double rate) {
+  if (rate == rate_) return;
+  rate_ = rate;
+  cap_ = std::max(rate * burst_s_, 1.0);
+  level_ = std::min(level_, cap_);
+}
+
 Client::Client(actor::Loop& loop, const config::Settings& s)
     : Actor(loop),
       http_(loop, s.state, 12, 256),
       watch_http_(loop, s.state, 2, 4),
-      requests_(s.state_rps / s.shards(), actor::Loop::now()),
-      writes_(s.state_write_rps / s.shards(), actor::Loop::now()),
+      limits_(s),
+      request_pace_(s.state_limits.rps / s.shards(), s.state_next.rps / s.shards()),
+      write_pace_(s.state_limits.write_rps / s.shards(), s.state_next.write_rps / s.shards()),
+      requests_(s.state_limits.rps / s.shards(), actor::Loop::now()),
+      writes_(s.state_limits.write_rps / s.shards(), actor::Loop::now()),
       timer_(loop, [this] { pump(); }) {}
 
 std::size_t Client::queued() const {
@@ -23,20 +33,39 @@
   return n;
 }
 
+Client::Cost Client::cost() const {
+  return {request_pace_.refusals() + write_pace_.refusals(), waited_s_, writes_.rate()};
+}
+
+void Client::refill(double now) {
+  requests_.refill(now);
+  writes_.refill(now);
+  requests_.set_rate(request_pace_.rate(now));
+  writes_.set_rate(write_pace_.rate(now));
+}
+
+// A 429 to a commit may be for either rate; as a rule there are far fewer changes to be had.
+void Client::heard(int status, bool wrote) {
+  if (status != 429) return;
+  double now = actor::Loop::now();
+  (wrote ? write_pace_ : request_pace_).refused(now);
+  refill(now);
+}
+
 void Client::submit(Call c, Urgency u) {
   auto& q = queues_[static_cast<int>(u)];
   if (q.size() >= 512) {
     c.done({503, {}});  // never sent: as good as refused
     return;
   }
+  c.since = actor::Loop::now();
   q.push_back(std::move(c));
   pump();
 }
 
 void Client::pump() {
   double now = actor::Loop::now();
-  requests_.refill(now);
-  writes_.refill(now);
+  refill(now);
   for (int u = 0; u < kUrgencies; ++u) {
     auto& q = queues_[u];
     while (!q.empty()) {
@@ -58,6 +87,7 @@
       }
       requests_.take(1);
       writes_.take(c.writes);
+      waited_s_ += now - c.since;
       Call go = std::move(c);
       q.pop_front();
       http_.request(go.method, std::move(go.path), std::move(go.body), go.timeout_s,
@@ -75,7 +105,11 @@
   c.writes = static_cast<double>(t.ops.size());
   c.timeout_s = 2;
   c.give_up_at = actor::Loop::now() + give_up_s;
-  c.done = [done = std::move(done)](net::Result r) {
+  std::size_t longest = 0;
+  for (const auto& op : t.ops)
+    if (op.value) longest = std::max(longest, op.value->size());
+  c.done = [this, longest, ops = t.ops.size(), done = std::move(done)](net::Result r) {
+    heard(r.status, true);
     CommitResult out;
     try {
       if (r.status == 200) {
@@ -87,8 +121,8 @@
       } else if (r.status == 503 || r.status == 429) {
         out.kind = CommitResult::not_executed;
       } else if (r.status == 400) {
-        out.kind =
-            wire::lease_missing(r.body) ? CommitResult::no_lease : CommitResult::not_executed;
+        out.kind = wire::lease_missing(r.body) ? CommitResult::no_lease : CommitResult::too_large;
+        if (out.kind == CommitResult::too_large) limits_.too_large(longest, ops);
       }
     } catch (const wire::Malformed&) {
       out.kind = CommitResult::unknown;
@@ -100,19 +134,33 @@
 
 void Client::watch(std::uint64_t after, int block_ms, std::function<void(net::Result)> done) {
   // Watches keep a connection of their own: they block, and must not hold up a commit.
-  requests_.refill(actor::Loop::now());
+  refill(actor::Loop::now());
   requests_.take(1);
   watch_http_.request("GET", wire::watch_path("st/", after, block_ms), "", block_ms / 1000.0 + 2.0,
-                      std::move(done));
+                      [this, done = std::move(done)](net::Result r) {
+                        heard(r.status, false);
+                        done(std::move(r));
+                      });
 }
 
 void Client::get(std::string path, Urgency u, std::function<void(net::Result)> done) {
-  Call c{"GET", std::move(path), "", 0, 2, actor::Loop::now() + 3, std::move(done)};
-  submit(std::move(c), u);
+  call("GET", std::move(path), "", u, std::move(done));
 }
 void Client::post(std::string path, std::string body, Urgency u,
                   std::function<void(net::Result)> done) {
-  Call c{"POST", std::move(path), std::move(body), 0, 2, actor::Loop::now() + 3, std::move(done)};
+  call("POST", std::move(path), std::move(body), u, std::move(done));
+}
+void Client::call(const char* method, std::string path, std::string body, Urgency u,
+                  std::function<void(net::Result)> done) {
+  Call c;
+  c.method = method;
+  c.path = std::move(path);
+  c.body = std::move(body);
+  c.give_up_at = actor::Loop::now() + 3;
+  c.done = [this, done = std::move(done)](net::Result r) {
+    heard(r.status, false);
+    done(std::move(r));
+  };
   submit(std::move(c), u);
 }
 
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -6,6 +6,7 @@
 
 #include "actor/loop.h"
 #include "net/http.h"
+#include "state/limits.h"
 #include "wire/codec.h"
 
 namespace shunt::state {
@@ -14,15 +15,22 @@
 class Bucket {
  public:
   Bucket(double rate, double now, double burst_s = 1)
-      : rate_(rate), cap_(std::max(rate * burst_s, 1.0)), level_(cap_), at_(now) {}
+      : burst_s_(burst_s),
+        rate_(rate),
+        cap_(std::max(rate * burst_s, 1.0)),
+        level_(cap_),
+        at_(now) {}
   void refill(double now);
   double level() const { return level_; }
   double cap() const { return cap_; }
+  double rate() const { return rate_; }
   void take(double n) { level_ -= n; }
+  // From now on; what was saved up under a higher rate is gone with it.
+  void set_rate(double rate);
   double wait_for(double n) const { return level_ >= n ? 0 : (n - level_) / rate_; }
 
  private:
-  double rate_, cap_, level_, at_;
+  double burst_s_, rate_, cap_, level_, at_;
 };
 
 enum class Urgency { safety, user, work, sweep };
@@ -30,7 +38,8 @@
 
 struct CommitResult {
   // unknown: no answer; it may have been carried out, or may yet be.
-  enum Kind { applied, guard_failed, not_executed, unknown, no_lease } kind = unknown;
+  // too_large: refused for its size; sent unchanged it would be refused again.
+  enum Kind { applied, guard_failed, not_executed, unknown, no_lease, too_large } kind = unknown;
   std::uint64_t revision = 0;
   std::vector<std::string> failed;
 };
@@ -45,6 +54,14 @@
   void get(std::string path, Urgency u, std::function<void(net::Result)> done);
   void post(std::string path, std::string body, Urgency u, std::function<void(net::Result)> done);
   std::size_t queued() const;
+  const Limits& limits() const { return limits_; }
+  // What the rates have cost: calls answered 429, seconds that calls have waited, writes a second
+  // at present.
+  struct Cost {
+    std::uint64_t refused = 0;
+    double waited_s = 0, write_rate = 0;
+  };
+  Cost cost() const;
   using actor::Actor::post;
 
  private:
@@ -53,12 +70,20 @@
     std::string path, body;
     double writes = 0, timeout_s = 2, give_up_at = 0;
     std::function<void(net::Result)> done;
+    double since = 0;
   };
+  void call(const char* method, std::string path, std::string body, Urgency u,
+            std::function<void(net::Result)> done);
   void submit(Call c, Urgency u);
   void pump();
+  void refill(double now);
+  void heard(int status, bool wrote);
 
   net::Client http_, watch_http_;
+  Limits limits_;
+  Pace request_pace_, write_pace_;
   Bucket requests_, writes_;
+  double waited_s_ = 0;
   std::array<std::deque<Call>, kUrgencies> queues_;
   actor::Timer timer_;
 };
--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -9,6 +9,7 @@
 std::string node_key(const std::string& node) { return "st/n/" + node; }
 std::string owner_key(int shard) { return "st/o/" + std::to_string(shard); }
 std::string job_key(const std::string& id) { return "st/j/" + id; }
+std::string waiting_key(const std::string& id) { return "st/w/" + id; }
 std::string roster_key(int page) { return "st/m/" + std::to_string(page); }
 int roster_page(const std::string& machine) {
   constexpr int kPage = 32, kOdd = 1 << 24;
@@ -19,6 +20,7 @@
   for (char c : machine) sum = (sum * 31 + static_cast<unsigned char>(c)) % 64;
   return kOdd + sum;
 }
+int roster_part(int page, int part) { return page + part * (1 << 26); }
 std::string sheet_key(int shard, int sheet) {
   return "st/a/" + std::to_string(shard) + "/" + std::to_string(sheet);
 }
@@ -35,6 +37,10 @@
   auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
 }
+const JobEntry* World::waiting(const std::string& id) const {
+  auto it = waiting_.find(id);
+  return it == waiting_.end() ? nullptr : &it->second;
+}
 const wire::MachineRecord* World::machine(const std::string& name) const {
   auto it = machines_.find(name);
   return it == machines_.end() ? nullptr : &it->second;
@@ -132,6 +138,10 @@
         changes.push_back({Change::job_set, rest, -1});
         break;
       }
+      case 'w':
+        waiting_[rest] = {wire::decode_job_record(e), e.stamp};
+        changes.push_back({Change::waiting_set, rest, -1});
+        break;
       case 'm':
         roster(std::atoi(rest.c_str()), wire::decode_roster(e).machines, changes);
         break;
@@ -174,6 +184,9 @@
     case 'j':
       if (jobs_.erase(rest)) changes.push_back({Change::job_gone, rest, -1});
       break;
+    case 'w':
+      if (waiting_.erase(rest)) changes.push_back({Change::waiting_gone, rest, -1});
+      break;
     case 'm':
       roster(std::atoi(rest.c_str()), {}, changes);
       break;
@@ -208,6 +221,7 @@
   std::vector<std::string> names;
   for (auto& m : now) {
     names.push_back(m.name);
+    page_of_[m.name] = page;
     auto [it, fresh] = machines_.try_emplace(m.name);
     if (!fresh && it->second == m) continue;
     it->second = std::move(m);
@@ -216,6 +230,10 @@
   std::sort(names.begin(), names.end());
   for (const auto& old : pages_[page])
     if (!std::binary_search(names.begin(), names.end(), old)) {
+      // It may have moved to another part of its page.
+      auto at = page_of_.find(old);
+      if (at == page_of_.end() || at->second != page) continue;
+      page_of_.erase(at);
       machines_.erase(old);
       changes.push_back({Change::machine_gone, old, -1});
     }
--- a/src/state/world.h
+++ b/src/state/world.h
@@ -15,8 +15,14 @@
 std::string node_key(const std::string& node);
 std::string owner_key(int shard);
 std::string job_key(const std::string& id);
+// A job that awaits others lives here until it is ready. The version that knows no such jobs reads
+// past these keys, so it can never start one too early; what is ready is a job like any other.
+std::string waiting_key(const std::string& id);
 std::string roster_key(int page);
 int roster_page(const std::string& machine);  // machines rented together share a page
+// A page too long for one value has further parts, each under a key of its own.
+inline constexpr int kRosterParts = 16;
+int roster_part(int page, int part);  // part 0: the page itself
 std::string sheet_key(int shard, int sheet);
 std::string final_key(const std::string& id);  // outside the root: not kept in memory
 
@@ -32,7 +38,16 @@
 using wire::Intervals;
 
 struct Change {
-  enum Kind { job_set, job_gone, machine_set, machine_gone, owner, node } kind;
+  enum Kind {
+    job_set,
+    job_gone,
+    waiting_set,
+    waiting_gone,
+    machine_set,
+    machine_gone,
+    owner,
+    node
+  } kind;
   std::string name;
   int index = -1;
 };
@@ -51,11 +66,13 @@
 
   std::uint64_t revision() const { return revision_; }
   std::uint64_t stamp(const std::string& key) const;
-  const JobEntry* job(const std::string& id) const;
+  const JobEntry* job(const std::string& id) const;      // ready: its tasks may start
+  const JobEntry* waiting(const std::string& id) const;  // awaits others
   const wire::MachineRecord* machine(const std::string& name) const;
   const OwnerEntry& owner(int shard) const { return owners_[shard]; }
   std::uint64_t node_stamp(int node) const { return nodes_[node]; }  // 0: not alive
   const std::map<std::string, JobEntry>& jobs() const { return jobs_; }
+  const std::map<std::string, JobEntry>& waiting() const { return waiting_; }
   const std::map<std::string, wire::MachineRecord>& machines() const { return machines_; }
   std::vector<wire::MachineRecord> roster(int page) const;
   const std::map<int, wire::SheetRecord>& sheets(int shard) const { return sheets_[shard]; }
@@ -78,9 +95,10 @@
   std::unordered_map<std::string, std::uint64_t> stamps_;
   // Keys dropped after `revision_`: an older set that is still on its way must not revive them.
   std::unordered_map<std::string, std::uint64_t> tombs_;
-  std::map<std::string, JobEntry> jobs_;
+  std::map<std::string, JobEntry> jobs_, waiting_;
   std::map<std::string, wire::MachineRecord> machines_;
-  std::map<int, std::vector<std::string>> pages_;  // the roster's pages, by machine
+  std::map<int, std::vector<std::string>> pages_;  // machines by page, or part of one
+  std::unordered_map<std::string, int> page_of_;
   std::vector<std::map<int, wire::SheetRecord>> sheets_;
   const wire::SheetJob* find(const wire::SheetRecord& r, const std::string& id) const;
   void roster(int page, std::vector<wire::MachineRecord> now, std::vector<Change>& changes);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -6,6 +6,8 @@
 #include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
 #include <unordered_map>
 
 namespace shunt::wire {
@@ -141,6 +143,17 @@
   s.checkpoint_s = number(j, "milepost_s", 0);
   s.save_s = number(j, "couple_s", 0);
   if (const json* v = find(j, "due_s")) s.deadline_s = as_number(*v, "due_s", 0);
+  if (const json* v = find(j, "awaits")) {
+    if (!v->is_array()) throw Malformed("awaits is not a list");
+    std::set<std::string> names;
+    for (const json& a : *v) {
+      std::string name = as_text(a, "awaits");
+      if (!valid_job_id(name)) throw Malformed("awaits holds what is not a job id");
+      names.insert(std::move(name));
+      if (names.size() > kAwaitsMax) throw Malformed("awaits names too many jobs");
+    }
+    s.awaits.assign(names.begin(), names.end());
+  }
   return s;
 }
 
@@ -466,11 +479,26 @@
 std::string encode_record(const JobRecord& r) {
   json j = job_json(r.spec);
   j["at"] = r.submitted_at;
+  if (r.ready_at > 0) j["ready"] = r.ready_at;
+  // What is awaited is kept without what all ids begin with: a value has little room.
+  std::string needs;
+  for (const auto& a : r.spec.awaits) needs += (needs.empty() ? "" : " ") + a.substr(4);
+  if (!needs.empty()) j["needs"] = needs;
   return j.dump();
 }
 JobRecord decode_job_record(const Event& e) {
   return of_value(e, [](const json& j) {
-    return JobRecord{job_of(j), as_number(need(j, "at"), "at", 0, 1e12)};
+    JobRecord r{job_of(j), as_number(need(j, "at"), "at", 0, 1e12), 0};
+    if (const json* v = find(j, "ready")) r.ready_at = as_number(*v, "ready", 0, 1e12);
+    if (const json* v = find(j, "needs")) {
+      if (!v->is_string()) throw Malformed("needs is not a string");
+      std::istringstream in(v->get<std::string>());
+      for (std::string n; in >> n;) {
+        r.spec.awaits.push_back("run-" + n);
+        if (!valid_job_id(r.spec.awaits.back())) throw Malformed("needs holds a bad id");
+      }
+    }
+    return r;
   });
 }
 
@@ -580,9 +608,10 @@
   });
 }
 std::string encode_record(const FinalRecord& r) {
-  return json{
-      {"s", r.cancelled ? "cancelled" : "done"}, {"n", r.tasks}, {"team", r.team}, {"w", r.tag}}
-      .dump();
+  json j = {
+      {"s", r.cancelled ? "cancelled" : "done"}, {"n", r.tasks}, {"team", r.team}, {"w", r.tag}};
+  if (r.service) j["svc"] = 1;
+  return j.dump();
 }
 FinalRecord decode_final_record(std::string_view body) {
   return guarded(body, [](const json& j) {
@@ -591,6 +620,7 @@
     r.tasks = static_cast<std::uint32_t>(whole(j, "n"));
     r.team = text_or(j, "team", "");
     r.tag = text_or(j, "w", "");
+    r.service = find(j, "svc") != nullptr;
     return r;
   });
 }
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -15,6 +15,8 @@
 };
 
 bool valid_job_id(std::string_view id);
+// A submission names no more jobs than this: its record has to fit one value.
+inline constexpr std::size_t kAwaitsMax = 128;
 
 // Users
 JobSpec decode_job(std::string_view body);
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -24,6 +24,7 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<std::string> awaits;  // jobs that have to be done before any task of this one starts
 };
 
 enum class JobState { queued, running, done, cancelled };
@@ -109,6 +110,7 @@
 struct JobRecord {
   JobSpec spec;
   double submitted_at = 0;  // time of day, seconds
+  double ready_at = 0;      // when the last job that it awaited was known to be done; 0: none was
 };
 // A machine and the shard that it belongs to.
 struct MachineRecord {
@@ -146,6 +148,7 @@
   bool cancelled = false;
   std::uint32_t tasks = 0;
   std::string team, tag;
+  bool service = false;  // not told by versions that knew no job that awaits others
 };
 struct OwnerRecord {
   std::string node;
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -42,7 +42,7 @@
   }
   void commit(double now) {
     desk->turn(now);
-    while (auto txn = desk->next_txn(w, "t", now)) {
+    while (auto txn = desk->next_txn(w, state::Room{}, "t", now)) {
       bool ok = store.commit(*txn).has_value();
       read();
       ok ? desk->txn_applied(now) : desk->txn_failed(now);
@@ -224,10 +224,10 @@
   d.desk->turn(1);
   d.desk->turn(1);
   std::size_t changes = 0;
-  while (auto txn = d.desk->next_txn(d.w, "t", 1)) {
+  while (auto txn = d.desk->next_txn(d.w, state::Room{}, "t", 1)) {
     changes += txn->ops.size();
-    EXPECT_LE(txn->ops.size(), static_cast<std::size_t>(d.s.txn_ops));
-    EXPECT_LE(txn->guards.size(), static_cast<std::size_t>(d.s.txn_ops) * 4);
+    EXPECT_LE(txn->ops.size(), static_cast<std::size_t>(d.s.state_limits.txn_ops));
+    EXPECT_LE(txn->guards.size(), static_cast<std::size_t>(d.s.state_limits.txn_ops) * 4);
     for (const auto& op : txn->ops) EXPECT_LE(op.value->size(), 4096u);
     ASSERT_TRUE(d.store.commit(*txn));
     d.read();
@@ -268,7 +268,7 @@
     }
     d.desk->turn(now);
     std::size_t changes = 0;
-    while (auto txn = d.desk->next_txn(d.w, "t", now)) {
+    while (auto txn = d.desk->next_txn(d.w, state::Room{}, "t", now)) {
       for (const auto& op : txn->ops) changes += op.key.starts_with("st/a/");
       ASSERT_TRUE(d.store.commit(*txn));
       std::vector<state::Change> ch;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -70,15 +70,15 @@
   // Two commits a second at most, as a controller's share of a slow state service.
   void commits() {
     for (int i = 0; i < 2 && desk_; ++i) {
-      if (!txn_) txn_ = desk_->next_txn(world_, "t" + std::to_string(++tags_), now_);
+      if (!txn_) txn_ = desk_->next_txn(world_, state::Room{}, "t" + std::to_string(++tags_), now_);
       if (!txn_) return;
       if (chance(0.15)) return;  // refused: the same one again, later
       for (const auto& op : txn_->ops) {
         ++changes_;
         if (op.value) longest_ = std::max(longest_, op.value->size());
       }
-      ASSERT_LE(txn_->ops.size(), static_cast<std::size_t>(s_.txn_ops));
-      ASSERT_LE(txn_->guards.size(), static_cast<std::size_t>(s_.txn_ops) * 4);
+      ASSERT_LE(txn_->ops.size(), static_cast<std::size_t>(s_.state_limits.txn_ops));
+      ASSERT_LE(txn_->guards.size(), static_cast<std::size_t>(s_.state_limits.txn_ops) * 4);
       ASSERT_TRUE(store_.commit(*txn_));
       txn_.reset();
       desk_->txn_applied(now_);
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -112,7 +112,7 @@
     if (!n.txn) {
       n.tag = "t" + std::to_string(++tags_);
       n.desk->turn(now_);
-      n.txn = n.desk->next_txn(n.world, n.tag, now_);
+      n.txn = n.desk->next_txn(n.world, state::Room{}, n.tag, now_);
       if (!n.txn) return;
     }
     if (chance(0.1)) return;  // lost on the way, or refused
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -25,8 +25,8 @@
   s.report_s = 3;
   s.lease_s = 20;
   s.cancel_s = 45;
-  s.value_kb = 4;
-  s.txn_ops = 12;
+  s.state_limits.value_kb = s.state_next.value_kb = 4;
+  s.state_limits.txn_ops = s.state_next.txn_ops = 12;
   return s;
 }
 
