--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -89,7 +89,7 @@
   void note_urgencies();
   void advance_pipelines();
   void move_waiting(bool ready);
-  bool mine_to_move(const std::string& id, double patience);
+  bool mine_to_move(const std::string& id);
 
   // workers.cpp
   void beat(ExchangePtr ex);
--- a/src/front/pipelines.cpp
+++ b/src/front/pipelines.cpp
@@ -66,14 +66,14 @@
 
 // The owner of a job's shard moves it. If it does not, being dead, cut off or of a version that
 // knows no such jobs, the others do, one after the other.
-bool Controller::mine_to_move(const std::string& id, double patience) {
+bool Controller::mine_to_move(const std::string& id) {
   const auto* j = world_.waiting(id);
   if (!j) return false;
   double now = loop_.now();
   double since = move_since_.try_emplace(id, now).first->second;
   int team = settings_.team_index(j->record.spec.team);
   if (team >= 0 && shards_[settings_.team_shard[team]].desk) return true;
-  return now - since > patience + settings_.self;
+  return now - since > kOwnersTime + settings_.self;
 }
 
 void Controller::advance_pipelines() {
@@ -96,54 +96,26 @@
     std::erase_if(move_since_, [&](const auto& m) { return !world_.waiting(m.first); });
 }
 
-// Ready: the record goes to where jobs that may start are kept, in one transaction, and only then
-// does any desk hear of it. Below a cancelled one: its final record follows what polls say already.
 // Several share a transaction; a cascade over thousands goes on at the rate that is left over.
 void Controller::move_waiting(bool ready) {
   Mover& mover = ready ? readier_ : ender_;
-  const double now = loop_.now();
-  if (mover.out || now < mover.after) return;
-  const state::Room size = state_.limits().room();
-  wire::Txn t;
-  std::vector<std::pair<std::string, wire::FinalRecord>> finals;
-  for (const auto& id : ready ? pipelines_.ready() : pipelines_.doomed()) {
-    if (t.ops.size() + 2 > size.ops) break;
-    if (!mine_to_move(id, kOwnersTime)) continue;
-    const state::JobEntry& j = *world_.waiting(id);
-    t.guards.emplace_back(state::waiting_key(id), j.stamp);
-    t.guards.emplace_back(state::final_key(id), 0);
-    t.ops.push_back({state::waiting_key(id), std::nullopt, 0});
-    if (ready) {
-      t.guards.emplace_back(state::job_key(id), 0);
-      wire::JobRecord r = j.record;
-      r.spec.awaits.clear();
-      r.ready_at = loop_.wall_now();
-      t.ops.push_back({state::job_key(id), wire::encode_record(r), 0});
-    } else {
-      wire::FinalRecord f;
-      f.cancelled = true;
-      f.tasks = j.record.spec.tasks;
-      f.team = j.record.spec.team;
-      f.service = j.record.spec.service;
-      f.tag = next_tag();
-      t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
-      finals.emplace_back(id, f);
-    }
-  }
-  if (t.ops.empty()) return;
+  if (mover.out || loop_.now() < mover.after) return;
+  jobs::Moves m =
+      jobs::moves(world_, pipelines_, ready, state_.limits().room(), loop_.wall_now(), next_tag(),
+                  [this](const std::string& id) { return mine_to_move(id); });
+  if (m.txn.ops.empty()) return;
   mover.out = true;
-  state_.commit(t, ready ? state::Urgency::work : state::Urgency::sweep, 3,
-                reply<state::CommitResult>([this, t, finals, &mover](state::CommitResult c) {
+  state_.commit(m.txn, ready ? state::Urgency::work : state::Urgency::sweep, 3,
+                reply<state::CommitResult>([this, m, &mover](state::CommitResult c) {
                   if (c.kind == state::CommitResult::applied) {
                     mover.out = false;
-                    mover.moved += t.ops.size() / 2;
-                    for (const auto& [id, f] : finals) remember_final(id, f);
-                    apply_own(t, c.revision);
+                    mover.moved += m.txn.ops.size() / 2;
+                    for (const auto& [id, f] : m.finals) remember_final(id, f);
+                    apply_own(m.txn, c.revision);
                     stir();
                     return;
                   }
-                  // Lost a race, or not known: read again, and decide anew. The guards on what
-                  // waits keep a late copy from undoing anything.
+                  // Lost a race, or not known: read again, and decide anew.
                   mover.after = loop_.now() + kMoveGap;
                   barrier([this, &mover](bool) {
                     mover.out = false;
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -206,11 +206,7 @@
   t.guards = {{state::job_key(id), 0}, {state::waiting_key(id), 0}, {state::final_key(id), 0}};
   if (cancelled) {
     // A job that it names is cancelled: so is this one, from the start.
-    f.cancelled = true;
-    f.tasks = r.spec.tasks;
-    f.team = r.spec.team;
-    f.service = r.spec.service;
-    f.tag = next_tag();
+    f = wire::cancelled_record(r.spec, next_tag());
     t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
   } else {
     t.ops.push_back({r.spec.awaits.empty() ? state::job_key(id) : state::waiting_key(id),
@@ -256,12 +252,7 @@
     // Cancelled already, with one before it.
     if (waits && pipelines_.standing(id) == jobs::Pipelines::Standing::cancelled) return over();
     // Done and cancelled race for the same keys: whichever commit comes first is the answer.
-    wire::FinalRecord f;
-    f.cancelled = true;
-    f.tasks = j->record.spec.tasks;
-    f.team = j->record.spec.team;
-    f.service = j->record.spec.service;
-    f.tag = next_tag();
+    wire::FinalRecord f = wire::cancelled_record(j->record.spec, next_tag());
     const std::string key = waits ? state::waiting_key(id) : state::job_key(id);
     wire::Txn t;
     t.guards = {{key, j->stamp}, {state::final_key(id), 0}};
--- a/src/jobs/pipelines.cpp
+++ b/src/jobs/pipelines.cpp
@@ -225,4 +225,31 @@
   return out;
 }
 
+Moves moves(const state::World& world, const Pipelines& p, bool ready, const state::Room& size,
+            double wall_now, const std::string& tag,
+            const std::function<bool(const std::string&)>& mine) {
+  Moves out;
+  wire::Txn& t = out.txn;
+  for (const auto& id : ready ? p.ready() : p.doomed()) {
+    if (t.ops.size() + 2 > size.ops) break;
+    const state::JobEntry* j = world.waiting(id);
+    if (!j || !mine(id)) continue;
+    t.guards.emplace_back(state::waiting_key(id), j->stamp);
+    t.guards.emplace_back(state::final_key(id), 0);
+    t.ops.push_back({state::waiting_key(id), std::nullopt, 0});
+    if (ready) {
+      t.guards.emplace_back(state::job_key(id), 0);
+      wire::JobRecord r = j->record;
+      r.spec.awaits.clear();
+      r.ready_at = wall_now;
+      t.ops.push_back({state::job_key(id), wire::encode_record(r), 0});
+    } else {
+      wire::FinalRecord f = wire::cancelled_record(j->record.spec, tag);
+      t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
+      out.finals.emplace_back(id, std::move(f));
+    }
+  }
+  return out;
+}
+
 }  // namespace shunt::jobs
--- a/src/jobs/pipelines.h
+++ b/src/jobs/pipelines.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "state/limits.h"
 #include "state/world.h"
 
 namespace shunt::jobs {
@@ -77,4 +78,15 @@
   std::set<std::string> unread_, ready_, doomed_, changed_;
 };
 
+// A transaction that moves waiting jobs on, and what it makes final. Ready: the record goes to
+// where jobs that may start are kept. Below a cancelled one: its final record follows what polls
+// say already. Guarded by what waits, so that a late or second copy undoes nothing.
+struct Moves {
+  wire::Txn txn;
+  std::vector<std::pair<std::string, wire::FinalRecord>> finals;
+};
+Moves moves(const state::World& world, const Pipelines& p, bool ready, const state::Room& size,
+            double wall_now, const std::string& tag,
+            const std::function<bool(const std::string&)>& mine);
+
 }  // namespace shunt::jobs
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -613,6 +613,9 @@
   if (r.service) j["svc"] = 1;
   return j.dump();
 }
+FinalRecord cancelled_record(const JobSpec& s, const std::string& tag) {
+  return {true, s.tasks, s.team, tag, s.service};
+}
 FinalRecord decode_final_record(std::string_view body) {
   return guarded(body, [](const json& j) {
     FinalRecord r;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -65,6 +65,7 @@
 std::string encode_record(const SheetRecord& r, const TeamName& names);
 SheetRecord decode_sheet(const Event& e, const TeamIndex& index);
 std::string encode_record(const FinalRecord& r);
+FinalRecord cancelled_record(const JobSpec& s, const std::string& tag);
 FinalRecord decode_final_record(std::string_view text);
 std::string encode_record(const OwnerRecord& r);
 OwnerRecord decode_owner_record(const Event& e);
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,291 @@
+// What the version in production wrote, and what it could read: recorded from it, byte for byte.
+// While both versions serve, each has to work on the other's data; a format that changed here
+// would end that.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "peer/peer.h"
+#include "shard/roster.h"
+#include "standins.h"
+
+namespace shunt::test {
+namespace {
+
+using wire::JobRecord;
+
+const std::string kBody =
+    R"({"uid":"run-000412","consist":"train","crew":"vision","haul":"batch","precedence":"high",
+"cars":16,"vcpus":8.0,"cards":1.0,"mem_gb":64.0,"manifest":"img-07","size_gb":6.2,
+"stock_types":["g8"],"yard":"a","same_place":true,"scatter":false,"borrowed_stock":true,
+"run_s":240.5,"milepost_s":30.0,"couple_s":4.0,"due_s":900.0})";
+const std::string kJob =
+    R"({"at":1733000000.25,"borrowed_stock":true,"cards":1.0,"cars":16,"consist":"train","couple_s":4.0,"crew":"vision","due_s":900.0,"haul":"batch","manifest":"img-07","mem_gb":64.0,"milepost_s":30.0,"precedence":"high","run_s":240.5,"same_place":true,"scatter":false,"size_gb":6.2,"stock_types":["g8"],"uid":"run-000412","vcpus":8.0,"yard":"a"})";
+const std::string kService =
+    R"({"at":1733000000.25,"borrowed_stock":true,"cards":1.0,"cars":16,"consist":"train","couple_s":4.0,"crew":"vision","haul":"service","manifest":"img-07","mem_gb":64.0,"milepost_s":30.0,"precedence":"idle","run_s":240.5,"same_place":true,"scatter":false,"size_gb":6.2,"uid":"run-000412","vcpus":8.0})";
+const std::string kDone = R"({"n":16,"s":"done","team":"vision","w":"n.7.12"})";
+const std::string kCancelled = R"({"n":16,"s":"cancelled","team":"vision","w":"n.7.12"})";
+const std::string kSheet =
+    R"({"b":4194305,"j":{"run-000412":{"c":8.0,"d":{"0":[0,3,7,7],"2":[1,1]},"g":1.0,"l":[0,4,1048578,1,5,1048584],"m":64.0,"t":"vision"},"run-7":{"c":1.5,"g":0.0,"l":[0,0,0],"m":1.8,"t":"red"}},"m":["m-000231","m-000007"],"w":"railhead-0.7.31"})";
+const std::string kRoster =
+    R"({"m":{"m-000007":["g8","b",0,0,0],"m-000231":["g8","a",1,2,431]},"w":"railhead-1.9.2"})";
+const std::string kOwner = R"({"node":"railhead-2","w":"railhead-2.8.1"})";
+const std::string kBeat =
+    "01030000000200000001030000000000000001000000000000000000000000000400af0100000000000003000000"
+    "0000000064000000fa00000025000000010000000000000000000000000090010000000000000700000001";
+
+wire::Event event(const std::string& value) { return {"", value, 0}; }
+
+TEST(Upgrade, JobRecordsAreThoseOfTheVersionInProduction) {
+  JobRecord r{wire::decode_job(kBody), 1733000000.25, 0};
+  EXPECT_EQ(wire::encode_record(r), kJob);
+  for (const auto& text : {kJob, kService}) {
+    JobRecord b = wire::decode_job_record(event(text));
+    EXPECT_EQ(wire::encode_record(b), text);
+    EXPECT_TRUE(b.spec.awaits.empty());
+    EXPECT_EQ(b.ready_at, 0);
+  }
+  // What is new in the record of a job that may start is a field that the other version ignores.
+  r.ready_at = 1733000100;
+  std::string ready = wire::encode_record(r);
+  EXPECT_EQ(wire::decode_job_record(event(ready)).ready_at, 1733000100);
+  ready.replace(ready.find("\"ready\":1733000100.0,"), 21, "");
+  EXPECT_EQ(ready, kJob);
+}
+
+TEST(Upgrade, FinalAndOwnerRecordsAreThoseOfTheVersionInProduction) {
+  for (const auto& text : {kDone, kCancelled}) {
+    auto f = wire::decode_final_record(text);
+    EXPECT_EQ(f.cancelled, text == kCancelled);
+    EXPECT_FALSE(f.service);
+    EXPECT_EQ(wire::encode_record(f), text);
+  }
+  EXPECT_EQ(wire::encode_record(wire::decode_owner_record(event(kOwner))), kOwner);
+}
+
+TEST(Upgrade, SheetsAndRosterPagesAreThoseOfTheVersionInProduction) {
+  auto names = [](int t) { return std::string(t ? "red" : "vision"); };
+  auto sheet = wire::decode_sheet(event(kSheet), [](const std::string& t) { return t == "red"; });
+  ASSERT_EQ(sheet.jobs.size(), 2u);
+  EXPECT_EQ(sheet.jobs[0].places.size(), 2u);
+  EXPECT_EQ(sheet.jobs[0].places[1].attempt, (5u << 20) + 9);
+  EXPECT_EQ(wire::encode_record(sheet, names), kSheet);
+  auto roster = wire::decode_roster(event(kRoster));
+  ASSERT_EQ(roster.machines.size(), 2u);
+  EXPECT_EQ(wire::encode_record(roster), kRoster);
+}
+
+TEST(Upgrade, BeatsAndRedirectsAreThoseOfTheVersionInProduction) {
+  std::string bytes;
+  for (std::size_t i = 0; i < kBeat.size(); i += 2)
+    bytes += static_cast<char>(std::stoi(kBeat.substr(i, 2), nullptr, 16));
+  auto b = peer::decode(bytes, 3);
+  ASSERT_TRUE(b);
+  EXPECT_EQ(b->node, 2);
+  EXPECT_EQ(b->tokens[2], 431u);
+  EXPECT_EQ(b->loads[0].entitled, 250u);
+  // The other version checks a beat's number and its exact length.
+  EXPECT_EQ(peer::encode(*b), bytes);
+  EXPECT_EQ(wire::encode_redirect("railhead-2"), R"({"dispatcher":"railhead-2"})");
+}
+
+TEST(Upgrade, KeysAreThoseOfTheVersionInProduction) {
+  EXPECT_EQ(state::node_key("railhead-0"), "st/n/railhead-0");
+  EXPECT_EQ(state::owner_key(2), "st/o/2");
+  EXPECT_EQ(state::job_key("run-000412"), "st/j/run-000412");
+  EXPECT_EQ(state::roster_key(state::roster_page("m-000231")), "st/m/7");
+  EXPECT_EQ(state::roster_key(state::roster_page("odd")), "st/m/16777263");
+  EXPECT_EQ(state::sheet_key(1, 47), "st/a/1/47");
+  EXPECT_EQ(state::final_key("run-000412"), "fin/run-000412");
+  // A letter that the version in production has no word for: it keeps the stamp and reads past it.
+  EXPECT_EQ(state::waiting_key("run-000412"), "st/w/run-000412");
+}
+
+TEST(Upgrade, SettingsOfTheNextLimitsAreChecked) {
+  auto settings = [](const std::string& state) {
+    return R"({"host_name":"a","zone":"z","front":"1.2.3.4:1","internal_addr":"1.2.3.4:2",
+"siblings":[],"services":{"cloud":"1.2.3.4:3","state":"1.2.3.4:4"},"cluster":{"size":1,
+"zones":["z"],"teams":[],"workers":{"report_s":3,"lease_s":20,"cancel_s":45},"state":)" +
+           state + R"(,"cloud":{"rps":2,"list_lag_s":3},"quota":{"ram_mb":104,"max_sockets":2000},
+"clock_off_ms":100}})";
+  };
+  auto of = [&](const std::string& next) {
+    return config::parse_settings(
+        settings(R"({"rps":80,"write_rps":25,"value_kb":4,"txn_ops":12)" + next + "}"));
+  };
+  auto s = of("");
+  EXPECT_EQ(state::Limits(s).room().value_bytes, 4096u);
+  EXPECT_EQ(state::Limits(s).room().ops, 12u);
+  s = of(R"(,"next":{"write_rps":18.0,"value_kb":2.0,"txn_ops":4})");
+  EXPECT_EQ(s.state_next.rps, 80);
+  EXPECT_EQ(s.state_next.write_rps, 18);
+  EXPECT_EQ(state::Limits(s).room().value_bytes, 2048u);
+  EXPECT_EQ(state::Limits(s).room().ops, 4u);
+  auto message = [&](const std::string& next) {
+    try {
+      of(next);
+    } catch (const config::BadSettings& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  EXPECT_EQ(message(R"(,"next":7)"), "cluster.state.next: is not an object");
+  EXPECT_EQ(message(R"(,"next":{"txn_ops":1})"), "cluster.state.next.txn_ops: is out of range");
+  EXPECT_EQ(message(R"(,"next":{"value_kb":"2"})"), "cluster.state.next.value_kb: is not a number");
+}
+
+TEST(Limits, FallToWhatIsAnnouncedAndFurtherIfThatIsTooMuch) {
+  auto s = make_settings();
+  s.state_next.value_kb = 2;
+  s.state_next.txn_ops = 4;
+  state::Limits l(s);
+  EXPECT_EQ(l.present().value_bytes, 4096u);  // roster pages, as the other version reads them
+  l.too_large(3000, 6);
+  EXPECT_EQ(l.present().value_bytes, 2048u);
+  EXPECT_EQ(l.room().ops, 4u);
+  // Nobody announced this. It ends at a size that can still be worked with.
+  for (int i = 0; i < 20; ++i) l.too_large(l.room().value_bytes, l.room().ops);
+  EXPECT_EQ(l.room().value_bytes, 1024u);
+  EXPECT_EQ(l.room().ops, 2u);
+}
+
+TEST(Limits, A429LowersTheRateAtOnceAndItRisesAgainSlowly) {
+  state::Pace p(25, 18);
+  EXPECT_EQ(p.rate(1), 25);
+  p.refused(1);
+  EXPECT_EQ(p.rate(1), 18);
+  p.refused(1.5);  // of the same burst
+  EXPECT_EQ(p.rate(1.5), 18);
+  p.refused(3);
+  EXPECT_LT(p.rate(3), 18);
+  EXPECT_EQ(p.rate(30), 18);
+  EXPECT_GT(p.rate(60), 18);  // perhaps it has passed
+  EXPECT_EQ(p.rate(200), 25);
+  for (int i = 0; i < 200; ++i) p.refused(200 + 2 * i);
+  EXPECT_GT(p.rate(602), 4);  // never to a standstill
+}
+
+// A roster page too long for one new value is parted, and at no moment is a machine unrecorded or
+// recorded twice: whatever of several nodes' changes come through.
+RC_GTEST_PROP(Roster, PartedPagesHoldEveryMachineOnce, ()) {
+  config::Settings s = make_settings();
+  Store store;
+  std::map<std::string, int> truth;
+  std::vector<std::unique_ptr<state::World>> nodes;
+  for (int i = 0; i < 2; ++i) nodes.push_back(std::make_unique<state::World>(s));
+  auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int, bool>>>(
+      rc::gen::tuple(rc::gen::inRange(0, 32), rc::gen::inRange(0, 3), rc::gen::inRange(0, 2),
+                     rc::gen::arbitrary<bool>()));
+  std::size_t limit = 4096;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    auto [machine, what, node, read] = steps[i];
+    if (i > steps.size() / 2) limit = 1024;  // the limits fall at some moment
+    state::World& w = *nodes[static_cast<std::size_t>(node)];
+    std::vector<state::Change> changes;
+    if (read) store.read(w, changes);
+    for (const auto& c : changes)
+      if (c.kind == state::Change::machine_gone && !w.machine(c.name))
+        RC_ASSERT(!truth.contains(c.name));
+    const std::string name = "m-" + std::to_string(320000 + machine);
+    shard::RosterPage page(w, state::roster_page(name));
+    const auto* m = page.find(name);
+    if (what < 2 && !m)
+      page.set({name, "a-type-with-a-name", "zone-with-a-name", true, what, 123456});
+    else if (what < 2) {
+      auto given = *m;
+      given.shard = 1 - given.shard;
+      page.set(given);
+    } else {
+      page.drop(name);
+    }
+    wire::Txn t = page.changes(limit, "tag");
+    if (t.ops.empty()) continue;
+    for (const auto& op : t.ops)
+      if (op.value) RC_ASSERT(op.value->size() <= limit);
+    if (!store.commit(t)) continue;
+    if (what < 2)
+      truth[name] = 1;
+    else
+      truth.erase(name);
+    // Every machine that is there stands in exactly one part.
+    std::map<std::string, int> held;
+    for (const auto& [k, e] : store.keys)
+      for (const auto& r : wire::decode_roster(event(e.value)).machines) ++held[r.name];
+    RC_ASSERT(held == truth);
+  }
+  state::World last(s);
+  std::vector<state::Change> changes;
+  store.read(last, changes);
+  RC_ASSERT(last.machines().size() == truth.size());
+}
+
+// A sheet written when values could be larger stays as it is until what it holds is over, and new
+// starts go elsewhere: no value is longer than what is taken now, nothing that is held is lost.
+TEST(Limits, SheetsTooLongForANewValueAreLeftAlone) {
+  config::Settings s = make_settings(1);
+  s.teams[0].cpus_max = 100000;
+  config::Tuning tuning;
+  fleet::Catalogue c = make_catalogue(s);
+  Store store;
+  state::World w(s);
+  store.commit(
+      {{}, {{state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", "x"}), 0}}});
+  std::vector<wire::MachineRecord> machines;
+  for (int i = 0; i < 600; ++i)
+    machines.push_back({"m-" + std::to_string(100000 + i), "t4", "a", true, 0, 0});
+  store.commit(roster_txn(w, machines));
+  std::vector<state::Change> ch;
+  store.read(w, ch);
+  auto job = make_job(1, 2400, 1);
+  store.commit({{}, {{state::job_key(job.spec.id), wire::encode_record(job), 0}}});
+  store.read(w, ch);
+  fleet::Desk d(s, tuning, c, 0, w.owner(0).stamp, 0, 7);
+  d.job_added(job, 0, {}, 0, 0);
+  for (const auto& m : machines) d.machine_known(m, 0);
+  auto commit = [&](state::Room size) {
+    for (int i = 0; i < 10; ++i) d.turn(1);
+    std::size_t n = 0;
+    while (auto t = d.next_txn(w, size, "t", 1)) {
+      ++n;
+      EXPECT_LE(t->ops.size(), size.ops);
+      EXPECT_LE(t->guards.size(), 4 * size.ops);
+      for (const auto& op : t->ops)
+        EXPECT_LE(op.value.value_or("").size(), size.value_bytes);
+      EXPECT_TRUE(store.commit(*t));
+      store.read(w, ch);
+      d.txn_applied(1);
+    }
+    return n;
+  };
+  auto beat = [&](int from, int to) {
+    for (int i = from; i < to; ++i) {
+      wire::Report r{machines[static_cast<std::size_t>(i)].name,
+                     "10.0.0.1:1",
+                     "t4",
+                     "a",
+                     true,
+                     1,
+                     1,
+                     0,
+                     std::nullopt,
+                     {}};
+      d.report(r, 1);
+    }
+  };
+  auto places = [&] {
+    std::set<std::uint32_t> tasks;
+    for (const auto& [n, sheet] : w.sheets(0))
+      for (const auto& g : sheet.jobs)
+        for (const auto& p : g.places) EXPECT_TRUE(tasks.insert(p.task).second);
+    return tasks.size();
+  };
+  beat(0, 400);
+  commit({4096, 12});
+  std::size_t before = places();
+  EXPECT_EQ(before, 1600u);
+  beat(400, 600);
+  EXPECT_GT(commit({1024, 2}), 1u);
+  EXPECT_EQ(places(), 2400u);
+}
+
+}  // namespace
+}  // namespace shunt::test
