Cold machines are barred while one with room has the image

Cause: rush-drc and bridge-health waited 1.2 to 1.5 s for images that lay ready on other machines with room; the learners are told the cost of a whole run, in which a second does not show.

--- a/src/fleet/walking.cpp
+++ b/src/fleet/walking.cpp
@@ -96,7 +96,18 @@
         t.end = {chain::TierEnd::rent, 0};
       if (!t.seats.empty() || t.end.kind != chain::TierEnd::none) tiers.push_back(std::move(t));
     }
-    if (!tiers.empty()) break;
+    if (tiers.empty()) continue;
+    // Where a machine with room has the image, those that would have to fetch it are barred too: an
+    // urgent task on a cold machine waits for a second or two, and learners that are told the cost
+    // of a whole run hardly see that.
+    auto cold = [](const chain::Seat& s) { return !s.context.warm; };
+    bool any = false;
+    for (const auto& t : tiers) any |= !std::all_of(t.seats.begin(), t.seats.end(), cold);
+    if (room_only && any) {
+      for (auto& t : tiers) std::erase_if(t.seats, cold);
+      std::erase_if(tiers, [](const chain::Tier& t) { return t.seats.empty(); });
+    }
+    break;
   }
   chain::Outcome o = chain::walk(tiers, rng_);
   item.trail = std::move(o.trail);
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -64,6 +64,12 @@
     log_at_ = now + 10;
     for (auto& s : shards_)
       if (s.desk) spdlog::info("desk {}", s.desk->summary());
+    const auto cost = state_.cost();
+    spdlog::info(
+        "state service: {} answered 429, {:.1f} s waited, {:.1f} changes a second, {} queued; "
+        "{} jobs wait for others, {} made ready, {} ended with them",
+        cost.refused, cost.waited_s, cost.write_rate, state_.queued(), world_.waiting().size(),
+        readier_.moved, ender_.moved);
   }
 }
 
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -399,5 +399,42 @@
   EXPECT_EQ(d.beat("m-7", 4).size(), 1u);
 }
 
+// Bridge checks and rush jobs waited a second or two for images that lay ready on other machines
+// with room: the learners are told the cost of whole runs, in which that hardly shows.
+TEST(Desk, AMachineWithRoomAndTheImageGoesBeforeOneThatWouldFetchIt) {
+  OneDesk d;
+  d.s.teams[0].cpus_max = 100;
+  for (int i = 0; i < 6; ++i) d.machine("m-" + std::to_string(i));
+  for (int i = 0; i < 6; ++i) d.beat("m-" + std::to_string(i), 1);
+  // Others fill the first five, so that one task fetches the image on the last.
+  auto fill = make_job(1, 5, 4);
+  fill.spec.image = "other";
+  d.job(fill);
+  std::map<std::string, std::vector<wire::Command>> there;
+  for (int i = 0; i < 6; ++i) there["m-" + std::to_string(i)] = d.beat("m-" + std::to_string(i), 2);
+  d.job(make_job(2, 1, 1));
+  std::string warm;
+  for (auto& [name, c] : there)
+    if (c.empty()) warm = name;
+  ASSERT_FALSE(warm.empty());
+  auto c = d.beat(warm, 3);
+  ASSERT_EQ(c.size(), 1u);
+  d.beat(warm, 4, {{c[0].task, c[0].attempt, wire::RunState::running, wire::Why::none}});
+  for (const auto& [name, o] : there)
+    if (!o.empty())
+      d.beat(name, 5, {{o[0].task, o[0].attempt, wire::RunState::exited, wire::Why::done}});
+  for (int n = 3; n < 6; ++n) {
+    auto r = make_job(n, 1, 1);
+    r.spec.priority = wire::Priority::high;
+    d.job(r);
+  }
+  d.commit(6);
+  std::size_t on_it = 0;
+  for (const auto& [n, sheet] : d.w.sheets(0))
+    for (const auto& g : sheet.jobs)
+      for (const auto& p : g.places) on_it += p.machine == warm;
+  EXPECT_EQ(on_it, 4u);
+}
+
 }  // namespace
 }  // namespace shunt::test
