Transactions are made when they can be sent, not before they wait for the rate

Cause: under the smaller limits changes run at 17.5 of 18 a second; a transaction made early waited up to 0.7 s in the queue while urgent starts gathered behind it. Now it is made, as large as the rate allows at that moment, when it can go.

--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -51,7 +51,7 @@
                       wire::Txn& t, Out& out) {
   Sheet& sheet = sheets_[static_cast<std::size_t>(index)];
   const std::size_t limit = std::min(kSheetBytes, size.value_bytes) - 64;
-  const std::size_t max_guards = size.ops * 4 - 2;
+  const std::size_t max_guards = size.guards - 2;
   wire::SheetRecord r;
   r.tag = tag;
   Out::Write write;
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -10,6 +10,7 @@
 constexpr double kCommitGap = 0.1;    // between two commits of a shard
 constexpr double kTurn = 0.04;        // what reports make possible is gathered so long
 constexpr int kWatchBlockMs = 1000;
+constexpr std::size_t kLeastBudget = 2;  // changes: a job's end takes as many
 }  // namespace
 
 Controller::Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t)
@@ -464,8 +465,14 @@
     // A token is raised between transactions: a busy desk would never be without one, and machines
     // that came from another shard would stand idle until it was.
     if (s.desk->wants_raise(now)) return shards();
+    // Not before it can be sent: urgent starts would wait behind a transaction that waits for the
+    // rate, and twice as many would be made.
+    state::Room size = state_.limits().room();
+    const std::size_t budget = state_.writes_now(state::Urgency::work);
+    if (budget < std::min(kLeastBudget, size.ops)) return stir();
+    size.ops = std::min(size.ops, budget);
     s.tag = next_tag();
-    auto t = s.desk->next_txn(world_, state_.limits().room(), s.tag, now);
+    auto t = s.desk->next_txn(world_, size, s.tag, now);
     if (!t) return;
     s.txn = std::move(*t);
   }
--- a/src/front/roster.cpp
+++ b/src/front/roster.cpp
@@ -92,7 +92,7 @@
         mine.guards.push_back(g);
     // A page that has to be parted takes several changes; another one may have room beside it.
     if (t.ops.size() + mine.ops.size() > size.ops ||
-        t.guards.size() + mine.guards.size() > size.ops * 4)
+        t.guards.size() + mine.guards.size() > size.guards)
       continue;
     for (auto& g : mine.guards)
       if (std::find(t.guards.begin(), t.guards.end(), g) == t.guards.end())
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -4,6 +4,13 @@
 
 namespace shunt::state {
 
+namespace {
+// Less urgent calls leave some of the burst for the more urgent ones.
+double spare(const Bucket& b, Urgency u, double part) {
+  return b.cap() * part * static_cast<int>(u);
+}
+}  // namespace
+
 void Bucket::refill(double now) {
   if (now > at_) level_ = std::min(cap(), level_ + (now - at_) * rate_);
   at_ = std::max(at_, now);
@@ -52,6 +59,16 @@
   refill(now);
 }
 
+std::size_t Client::writes_now(Urgency u) {
+  refill(actor::Loop::now());
+  for (int i = 0; i <= static_cast<int>(u); ++i)
+    if (!queues_[static_cast<std::size_t>(i)].empty()) return 0;
+  if (requests_.wait_for(std::min(1 + spare(requests_, u, 0.1), requests_.cap())) > 0) return 0;
+  // At a rate so low that the spare part is all there is, one change still goes.
+  if (writes_.level() >= writes_.cap()) return static_cast<std::size_t>(writes_.cap());
+  return static_cast<std::size_t>(std::max(0.0, writes_.level() - spare(writes_, u, 0.12)));
+}
+
 void Client::submit(Call c, Urgency u) {
   auto& q = queues_[static_cast<int>(u)];
   if (q.size() >= 512) {
@@ -76,8 +93,8 @@
         late.done({503, {}});
         continue;
       }
-      // Less urgent calls leave some of the burst for the more urgent ones.
-      double spare_r = requests_.cap() * 0.1 * u, spare_w = writes_.cap() * 0.12 * u;
+      const auto urgency = static_cast<Urgency>(u);
+      double spare_r = spare(requests_, urgency, 0.1), spare_w = spare(writes_, urgency, 0.12);
       double need_w = c.writes > 0 ? std::min(c.writes + spare_w, writes_.cap()) : 0;
       double wait = std::max(requests_.wait_for(std::min(1 + spare_r, requests_.cap())),
                              need_w > 0 ? writes_.wait_for(need_w) : 0.0);
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -54,6 +54,9 @@
   void get(std::string path, Urgency u, std::function<void(net::Result)> done);
   void post(std::string path, std::string body, Urgency u, std::function<void(net::Result)> done);
   std::size_t queued() const;
+  // So many changes could be sent at once, as far as the rates go. What is made only then holds all
+  // that has come up to that moment: made earlier, it would wait here while more comes.
+  std::size_t writes_now(Urgency u);
   const Limits& limits() const { return limits_; }
   // What the rates have cost: calls answered 429, seconds that calls have waited, writes a second
   // at present.
--- a/src/state/limits.cpp
+++ b/src/state/limits.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 Limits::Limits(const config::Settings& s)
-    : present_{bytes(s.state_limits.value_kb), static_cast<std::size_t>(s.state_limits.txn_ops)},
+    : present_{bytes(s.state_limits.value_kb), static_cast<std::size_t>(s.state_limits.txn_ops),
+               4 * static_cast<std::size_t>(s.state_limits.txn_ops)},
       room_{std::min(present_.value_bytes, bytes(s.state_next.value_kb)),
             std::min(present_.ops, static_cast<std::size_t>(s.state_next.txn_ops))} {}
 
--- a/src/state/limits.h
+++ b/src/state/limits.h
@@ -10,7 +10,7 @@
 
 // The size of one transaction.
 struct Room {
-  std::size_t value_bytes = 4096, ops = 12;
+  std::size_t value_bytes = 4096, ops = 12, guards = 48;
 };
 
 class Limits {
@@ -18,10 +18,10 @@
   explicit Limits(const config::Settings& s);
   // For everything that can be written small: nothing may rely on a larger size staying, so what
   // is announced for later holds from the start.
-  Room room() const { return room_; }
+  Room room() const { return {room_.value_bytes, room_.ops, 4 * room_.ops}; }
   // For what another version may still have to read in its present form (roster pages), until a
   // smaller limit has shown itself.
-  Room present() const { return shown_ ? room_ : present_; }
+  Room present() const { return shown_ ? room() : present_; }
   // A transaction of this size was refused as too large. Limits may have fallen further than
   // anybody said.
   void too_large(std::size_t longest_value, std::size_t ops);
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -315,7 +315,7 @@
       store_.commit(t);
     }
     // The limits fall, without notice.
-    if (now_ > 200) size_ = {1536, 2};
+    if (now_ > 200) size_ = {1536, 2, 8};
     if (chance(0.01) && !specs_.empty()) {
       auto it = std::next(specs_.begin(), static_cast<long>(rng_() % specs_.size()));
       const std::string& id = it->first;
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -62,7 +62,7 @@
         {{}, {{key, std::nullopt, 0}, {state::final_key(job), wire::encode_record(f), 0}}});
   }
   bool move(bool ready) {
-    auto m = jobs::moves(w, p, ready, {2048, 4}, 100, "t", [](const std::string&) { return true; });
+    auto m = jobs::moves(w, p, ready, {2048, 4, 16}, 100, "t", [](const std::string&) { return true; });
     if (m.txn.ops.empty()) return false;
     EXPECT_LE(m.txn.ops.size(), 4u);
     EXPECT_LE(m.txn.guards.size(), 16u);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -302,7 +302,7 @@
   std::size_t held = places();
   done(40, 80, 2);
   beat(400, 600);
-  EXPECT_GT(commit({1024, 2}), 1u);
+  EXPECT_GT(commit({1024, 2, 8}), 1u);
   // Every result that a desk would let a worker forget is recorded, and every placement left.
   EXPECT_GE(places() + 80, 2400u - 80);
   EXPECT_GT(held, 1500u);
