--- a/src/fleet/commits.cpp
+++ b/src/fleet/commits.cpp
@@ -9,7 +9,7 @@
 using jobs::JobPtr;
 
 namespace {
-constexpr double kDoneWait = 1.0;          // results wait so long for starts to share a change with
+constexpr double kDoneWait = 3.0;          // results wait so long for starts to share a change with
 constexpr std::size_t kSheetBytes = 5800;  // never longer, though values may be
 constexpr std::size_t kSheetsPerTxn = 3;
 constexpr std::size_t kSheetsMost = 512;
@@ -201,7 +201,9 @@
                      [&](std::size_t a, std::size_t b) { return load(a) < load(b); });
     std::size_t used = 0;
     for (std::size_t i : order) {
-      if (used >= kSheetsPerTxn || t.ops.size() >= ops || (starts.empty() && dirty.empty())) break;
+      // Results ride along with starts; only those that have waited take changes of their own.
+      if (used >= kSheetsPerTxn || t.ops.size() >= ops) break;
+      if (starts.empty() && (dirty.empty() || (used && !due))) break;
       used += fill_sheet(static_cast<int>(i), w, size, starts, dirty, tag, t, out);
     }
     // All full, or too long for what a value may hold by now: one more.
