A full bucket always lets the least transaction go; unannounced limits found in smaller steps

Cause: at a share of fewer than two changes a second a desk would have waited for ever for a budget that its bucket cannot hold (found by reading, the rate can get there after several 429s).

--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -10,7 +10,6 @@
 constexpr double kCommitGap = 0.1;    // between two commits of a shard
 constexpr double kTurn = 0.04;        // what reports make possible is gathered so long
 constexpr int kWatchBlockMs = 1000;
-constexpr std::size_t kLeastBudget = 2;  // changes: a job's end takes as many
 }  // namespace
 
 Controller::Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t)
@@ -469,7 +468,7 @@
     // rate, and twice as many would be made.
     state::Room size = state_.limits().room();
     const std::size_t budget = state_.writes_now(state::Urgency::work);
-    if (budget < std::min(kLeastBudget, size.ops)) return stir();
+    if (budget < state::kLeastWrites) return stir();
     size.ops = std::min(size.ops, budget);
     s.tag = next_tag();
     auto t = s.desk->next_txn(world_, size, s.tag, now);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -64,8 +64,10 @@
   for (int i = 0; i <= static_cast<int>(u); ++i)
     if (!queues_[static_cast<std::size_t>(i)].empty()) return 0;
   if (requests_.wait_for(std::min(1 + spare(requests_, u, 0.1), requests_.cap())) > 0) return 0;
-  // At a rate so low that the spare part is all there is, one change still goes.
-  if (writes_.level() >= writes_.cap()) return static_cast<std::size_t>(writes_.cap());
+  // A full bucket is all there will ever be: at a low rate it holds less than the least
+  // transaction, which would otherwise never be made.
+  if (writes_.level() >= writes_.cap())
+    return std::max(kLeastWrites, static_cast<std::size_t>(writes_.cap()));
   return static_cast<std::size_t>(std::max(0.0, writes_.level() - spare(writes_, u, 0.12)));
 }
 
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -33,6 +33,8 @@
   double burst_s_, rate_, cap_, level_, at_;
 };
 
+inline constexpr std::size_t kLeastWrites = 2;  // a job's end, and a move, take as many
+
 enum class Urgency { safety, user, work, sweep };
 inline constexpr int kUrgencies = 4;
 
--- a/src/state/limits.cpp
+++ b/src/state/limits.cpp
@@ -28,7 +28,7 @@
   // Which of the two it was is not said.
   if (longest_value <= room_.value_bytes)
     room_.value_bytes = std::min(room_.value_bytes, std::max(kLeastValue, longest_value * 3 / 4));
-  if (ops <= room_.ops) room_.ops = std::min(room_.ops, std::max(kLeastOps, ops / 2));
+  if (ops <= room_.ops) room_.ops = std::min(room_.ops, std::max(kLeastOps, ops * 3 / 4));
 }
 
 double Pace::rate(double now) {
