--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -397,7 +397,7 @@
   double cost = rate * share * (now - started);
   if (p.item.rented) cost += rate * type.spec.boot_s;
   cost += tuning_.wait_weight * weight * std::max(0.0, started - p.item.since);
-  if (now > j.late) cost += tuning_.late_weight * weight;
+  if (now > j.due) cost += tuning_.late_weight * weight;
   for (const auto& s : p.item.trail) s.learner->record(s.context, s.arm, cost);
 }
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -16,10 +16,9 @@
       cls(c),
       need(Amount::of(r.spec.cpus, r.spec.gpus, r.spec.mem_gb)),
       since(now - std::max(0.0, wall_now - std::max(r.submitted_at, r.ready_at))),
-      late(r.spec.deadline_s ? now - (wall_now - r.submitted_at) + *r.spec.deadline_s
-                             : std::numeric_limits<double>::infinity()),
       priority(r.spec.priority),
-      due(late),
+      due(r.spec.deadline_s ? now - (wall_now - r.submitted_at) + *r.spec.deadline_s
+                            : std::numeric_limits<double>::infinity()),
       places(r.spec.tasks, 0),
       in_zone(zones, 0),
       done_(r.spec.tasks, false),
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -44,10 +44,11 @@
   const int cls;
   const Amount need;
   const double since;  // steady time of its submission, or of when it was ready
-  const double late;   // steady time of its own deadline, which counts from its submission
   // Its own, or that of a job that needs it.
   wire::Priority priority;
-  double due;         // steady time by which it should be done, for its own sake or theirs
+  // Steady time by which it should be done, for its own sake or theirs: its own deadline counts
+  // from its submission, however long it waited.
+  double due;
   bool gone = false;  // cancelled or final: none of its tasks may start
   int image = -1;     // dense index of its image
   // It fits into its team's guarantee together with the team's earlier unfinished jobs.
