A worker agent, a depot, and the whole set on one machine

Change: src/agent (book, record, lease page, shepherds, reporting), src/depot (content-addressed store, HTTP, archives), src/far (the far sides of the protocol), src/standins (state service, cloud), src/local and src/ctl with their programs. Readers of JSON fields moved to wire/fields.h, of XML to config/xml.h, both now shared.

--- /dev/null
+++ b/app/shunt-agent.cpp
@@ -0,0 +1,123 @@
+// The worker agent, and the shepherds that it starts.
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+
+#include "agent/agent.h"
+#include "agent/shepherd.h"
+#include "log/log.h"
+
+namespace {
+
+using namespace shunt;
+
+// Tests end the process at a step of their choice: "launched.after:2" at its second time. Unset in
+// any other use.
+agent::Record::Step kill_point() {
+  const char* at = std::getenv("SHUNT_KILL_AT");
+  if (!at) return [](const std::string&) {};
+  std::string text = at;
+  auto colon = text.rfind(':');
+  auto left =
+      std::make_shared<int>(colon == std::string::npos ? 1 : std::stoi(text.substr(colon + 1)));
+  return [name = text.substr(0, colon), left](const std::string& step) {
+    if (step == name && --*left == 0) ::kill(::getpid(), SIGKILL);
+  };
+}
+
+struct Signals {
+  Signals(actor::Loop& loop, agent::Agent& a) : agent(a) {
+    auto add = [&](int n, event_callback_fn fn, void* arg) {
+      events.emplace_back(evsignal_new(loop.base(), n, fn, arg));
+      event_add(events.back().get(), nullptr);
+    };
+    for (int n : {SIGTERM, SIGINT})
+      add(
+          n, [](evutil_socket_t, short, void* l) { static_cast<actor::Loop*>(l)->stop(); }, &loop);
+    add(
+        SIGUSR2, [](evutil_socket_t, short, void* a2) { static_cast<agent::Agent*>(a2)->notice(); },
+        &agent);
+    // Shepherds of this process; those of an earlier one are not its children.
+    add(
+        SIGCHLD,
+        [](evutil_socket_t, short, void*) {
+          while (::waitpid(-1, nullptr, WNOHANG) > 0) {
+          }
+        },
+        nullptr);
+  }
+  agent::Agent& agent;
+  std::vector<actor::EventPtr> events;
+};
+
+int run(const std::string& settings_path, const std::string& dir, bool check) {
+  agent::Settings settings;
+  try {
+    settings = agent::parse_settings(config::read_file(settings_path, "settings"));
+  } catch (const config::BadSettings& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return 2;
+  }
+  if (check) return 0;
+  ::signal(SIGPIPE, SIG_IGN);
+  log::open("shunt-agent");
+  try {
+    actor::Loop loop;
+    agent::Agent a(loop, settings, dir, kill_point());
+    Signals signals(loop, a);
+    log::info("agent serves", {{"machine", settings.machine}});
+    loop.run();
+    // Its tasks go on under their shepherds, as long as the lease holds.
+    log::info("agent ends");
+  } catch (const std::exception& e) {
+    log::error("agent cannot go on", {{"why", e.what()}});
+    return 1;
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"shunt-agent: runs a machine's tasks for shunttrail"};
+  app.set_version_flag("--version", std::string("shunt-agent 0.1.0"));
+  std::string settings, dir, task_dir, page;
+  bool check = false;
+  app.add_option("--settings", settings, "the agent's settings (XML)");
+  app.add_option("--dir", dir, "where the agent keeps its record, tasks and images");
+  app.add_flag("--check", check, "check the settings, then exit");
+  auto* end = app.add_subcommand("end", "end every task of the agent in DIR, and its session");
+  end->add_option("--dir", dir, "the agent's directory")->required();
+  auto* shepherd =
+      app.add_subcommand("shepherd", "keep one task (started by the agent)")->group("");
+  shepherd->add_option("task-dir", task_dir)->required();
+  shepherd->add_option("lease-page", page)->required();
+  app.require_subcommand(0, 1);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    int r = app.exit(e);
+    return r == 0 ? 0 : 2;
+  }
+  if (shepherd->parsed()) return agent::shepherd(task_dir, page);
+  if (end->parsed()) {
+    try {
+      auto lock = agent::try_lock(agent::Places{dir}.lock());
+      if (!lock) {
+        std::fprintf(stderr, "%s: an agent still runs there\n", dir.c_str());
+        return 1;
+      }
+      return agent::end_all(agent::Places{std::filesystem::absolute(dir)}) ? 0 : 1;
+    } catch (const std::exception& e) {
+      std::fprintf(stderr, "%s\n", e.what());
+      return 1;
+    }
+  }
+  if (settings.empty() || (dir.empty() && !check)) {
+    std::fprintf(stderr, "--settings and --dir are needed; see --help\n");
+    return 2;
+  }
+  return run(settings, dir, check);
+}
--- /dev/null
+++ b/app/shuntctl.cpp
@@ -0,0 +1,328 @@
+// The command line of a user of the service.
+#include <signal.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "ctl/service.h"
+#include "depot/archive.h"
+
+namespace {
+
+using namespace shunt;
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+struct Options {
+  std::string server = "127.0.0.1:8080", id;
+  bool as_json = false;
+  // submit
+  std::string file, name = "job", team = "default", priority = "standard", zone, image, image_dir;
+  std::vector<std::string> types, awaits, env, command;
+  std::uint32_t tasks = 1;
+  double cpus = 1, gpus = 0, mem_gb = 0.5, run_s = 60, save_every_s = 0, save_s = 5, due_s = 0,
+         limit_s = 0;
+  bool no_spot = false, one_zone = false, spread = false, wait = false;
+  // output
+  std::uint32_t task = 0;
+  bool err = false;
+  double timeout_s = 0;
+};
+
+[[noreturn]] void usage(const std::string& why) { throw CLI::ValidationError(why); }
+
+wire::Priority priority(const std::string& name) {
+  if (name == "critical") return wire::Priority::critical;
+  if (name == "high") return wire::Priority::high;
+  if (name == "standard") return wire::Priority::standard;
+  if (name == "idle") return wire::Priority::idle;
+  usage("--priority: " + name + " is none of critical, high, standard, idle");
+}
+
+std::string read_input(const std::string& file) {
+  std::ostringstream out;
+  if (file == "-") {
+    out << std::cin.rdbuf();
+  } else {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) usage(file + ": cannot be read");
+    out << in.rdbuf();
+  }
+  return out.str();
+}
+
+// A description from flags, or from a file: a description, or a native submission with flags.
+far::Description description(const Options& o, ctl::Service& service) {
+  far::Description d;
+  if (!o.file.empty()) {
+    json j = json::parse(read_input(o.file), nullptr, false);
+    if (!j.is_object()) usage(o.file + ": is not a JSON object");
+    try {
+      if (j.contains("job")) {
+        if (!j["job"].contains("uid")) j["job"]["uid"] = ctl::fresh_id();
+        d = far::decode_description(j.dump());
+      } else {
+        if (!j.contains("uid")) j["uid"] = ctl::fresh_id();
+        d.job = wire::decode_job(j.dump());
+      }
+    } catch (const wire::Malformed& e) {
+      usage(o.file + ": " + e.what());
+    }
+  } else {
+    auto& s = d.job;
+    s.id = o.id.empty() ? ctl::fresh_id() : o.id;
+    s.cls = o.name;
+    s.team = o.team;
+    s.priority = priority(o.priority);
+    s.tasks = o.tasks;
+    s.cpus = o.cpus;
+    s.gpus = o.gpus;
+    s.mem_gb = o.mem_gb;
+    s.image = "none";
+    if (!o.types.empty()) s.types = o.types;
+    if (!o.zone.empty()) s.zone = o.zone;
+    s.one_zone = o.one_zone;
+    s.spread = o.spread;
+    s.spot = !o.no_spot;
+    s.estimate_s = o.run_s;
+    s.checkpoint_s = o.save_every_s;
+    s.save_s = o.save_every_s > 0 ? o.save_s : 0;
+    if (o.due_s > 0) s.deadline_s = o.due_s;
+    s.awaits = o.awaits;
+    d.limit_s = o.limit_s;
+    if (!wire::valid_job_id(s.id)) usage("--id: " + s.id + " is no job id (run-DIGITS)");
+  }
+  if (!o.command.empty()) d.command = o.command;
+  if (d.command.empty()) usage("no command: shuntctl submit [flags] -- COMMAND ARGS");
+  for (const auto& e : o.env) {
+    auto eq = e.find('=');
+    if (eq == 0 || eq == std::string::npos) usage("--env: " + e + " is not NAME=VALUE");
+    d.env[e.substr(0, eq)] = e.substr(eq + 1);
+  }
+  if (!o.image_dir.empty()) {
+    fs::path tar = fs::temp_directory_path() / (d.job.id + ".tar");
+    depot::Packer packer(o.image_dir, tar);
+    while (!packer.step()) {
+    }
+    d.image = service.upload(tar);
+    d.job.image = "img-" + d.image.substr(0, 16);
+    d.job.image_gb = static_cast<double>(fs::file_size(tar)) / 1e9;
+    fs::remove(tar);
+  } else if (!o.image.empty()) {
+    d.image = o.image;
+    d.job.image = "img-" + d.image.substr(0, 16);
+  }
+  return d;
+}
+
+json as_json(const far::JobAnswer& a) {
+  return {
+      {"id", a.id}, {"state", wire::state_name(a.state)}, {"done", a.done}, {"running", a.running}};
+}
+void show(const far::JobAnswer& a, const Options& o) {
+  if (o.as_json)
+    std::printf("%s\n", as_json(a).dump().c_str());
+  else
+    std::printf("%s %s, %llu done, %llu running\n", a.id.c_str(), wire::state_name(a.state),
+                static_cast<unsigned long long>(a.done),
+                static_cast<unsigned long long>(a.running));
+}
+
+// The exit status of a job: that of its first task, by number, that did not end with 0.
+int exit_of(ctl::Service& service, const std::string& id) {
+  auto d = service.description(id);
+  if (!d) return 0;
+  for (std::uint32_t i = 0; i < d->job.tasks; ++i)
+    if (auto r = service.result({id, i}); r && r->exit != 0) return r->exit;
+  return 0;
+}
+
+int wait_for(ctl::Service& service, const Options& o) {
+  double until = o.timeout_s > 0 ? actor::Loop::now() + o.timeout_s : 1e18;
+  bool tty = ::isatty(2) && !o.as_json;
+  std::string shown;
+  while (true) {
+    auto a = service.status(o.id);
+    if (!a) throw ctl::Failed(o.id + ": no such job");
+    bool over = a->state == wire::JobState::done || a->state == wire::JobState::cancelled;
+    std::string line = std::string(wire::state_name(a->state)) + ", " + std::to_string(a->done) +
+                       " done, " + std::to_string(a->running) + " running";
+    if (tty && line != shown) std::fprintf(stderr, "\r\033[K%s: %s", o.id.c_str(), line.c_str());
+    shown = line;
+    if (over) {
+      if (tty) std::fprintf(stderr, "\n");
+      int exit = a->state == wire::JobState::done ? exit_of(service, o.id) : 1;
+      if (o.as_json) {
+        json j = as_json(*a);
+        j["exit"] = exit;
+        std::printf("%s\n", j.dump().c_str());
+      }
+      if (a->state == wire::JobState::cancelled)
+        std::fprintf(stderr, "%s was cancelled\n", o.id.c_str());
+      return exit;
+    }
+    if (actor::Loop::now() > until) throw ctl::Failed(o.id + ": still " + shown);
+    service.sleep(0.5);
+  }
+}
+
+int submit(ctl::Service& service, Options& o) {
+  far::Description d = description(o, service);
+  far::JobAnswer a = service.submit(d);
+  if (o.as_json && !o.wait)
+    std::printf("%s\n", as_json(a).dump().c_str());
+  else if (!o.as_json)
+    std::printf("%s\n", a.id.c_str());
+  std::fflush(stdout);
+  if (!o.wait) return 0;
+  o.id = a.id;
+  return wait_for(service, o);
+}
+
+int output(ctl::Service& service, const Options& o) {
+  auto d = service.description(o.id);
+  if (!d) throw ctl::Failed(o.id + ": no such job");
+  if (o.task >= d->job.tasks)
+    throw ctl::Failed(o.id + ": has " + std::to_string(d->job.tasks) + " tasks, numbered from 0");
+  auto r = service.result({o.id, o.task});
+  if (!r) throw ctl::Failed(o.id + "/" + std::to_string(o.task) + ": has not ended");
+  if (o.as_json) {
+    std::printf("%s\n", far::encode_result(*r).c_str());
+    return 0;
+  }
+  if (!r->reason.empty()) std::fprintf(stderr, "%s\n", r->reason.c_str());
+  const std::string& hash = o.err ? r->err : r->out;
+  if (hash.empty()) return 0;
+  fs::path file = fs::temp_directory_path() / ("shuntctl-" + std::to_string(::getpid()));
+  if (!service.fetch(hash, file)) throw ctl::Failed("the output is lost or damaged");
+  std::ifstream in(file, std::ios::binary);
+  std::cout << in.rdbuf() << std::flush;
+  fs::remove(file);
+  return 0;
+}
+
+void add_id(CLI::App* c, Options& o) { c->add_option("JOB", o.id, "the job's id")->required(); }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  ::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{
+      "shuntctl: submit jobs to shunttrail and look after them\n\n"
+      "Exit status: 0, 1 if the service refuses or does not answer, 2 for a wrong command line; "
+      "of\n"
+      "wait and submit --wait that of the job (of its first task that failed), 1 if it was "
+      "cancelled."};
+  app.set_version_flag("--version", std::string("shuntctl 0.1.0"));
+  Options o;
+  app.add_option("--server", o.server, "where the service is, http://HOST:PORT")
+      ->envname("SHUNT_SERVER")
+      ->capture_default_str();
+  app.add_flag("--json", o.as_json, "answers as JSON");
+  app.require_subcommand(1);
+  app.fallthrough();
+
+  auto* sub = app.add_subcommand("submit", "submit a job and print its id");
+  sub->add_option("--file", o.file,
+                  "a description or a native submission (JSON); - for standard input");
+  sub->add_option("--id", o.id, "the job's id (run-DIGITS); made up if it is not given");
+  sub->add_option("--name", o.name, "the class of jobs that it belongs to")->capture_default_str();
+  sub->add_option("--team", o.team)->capture_default_str();
+  sub->add_option("--priority", o.priority, "critical, high, standard or idle")
+      ->capture_default_str();
+  sub->add_option("--tasks", o.tasks)->check(CLI::Range(1, 100000))->capture_default_str();
+  sub->add_option("--vcpus", o.cpus, "of each task")
+      ->check(CLI::NonNegativeNumber)
+      ->capture_default_str();
+  sub->add_option("--cards", o.gpus, "of each task")->check(CLI::NonNegativeNumber);
+  sub->add_option("--mem-gb", o.mem_gb, "of each task")
+      ->check(CLI::NonNegativeNumber)
+      ->capture_default_str();
+  sub->add_option("--run-s", o.run_s, "how long a task is thought to run")
+      ->check(CLI::NonNegativeNumber)
+      ->capture_default_str();
+  sub->add_option("--limit-s", o.limit_s, "a task that runs longer is killed")
+      ->check(CLI::NonNegativeNumber);
+  sub->add_option("--due-s", o.due_s, "when the job should be done, from now")
+      ->check(CLI::NonNegativeNumber);
+  sub->add_option("--save-every-s", o.save_every_s, "its tasks save a checkpoint so often")
+      ->check(CLI::NonNegativeNumber);
+  sub->add_option("--save-s", o.save_s, "time that a task needs to save")
+      ->check(CLI::NonNegativeNumber)
+      ->capture_default_str();
+  sub->add_option("--type", o.types, "an allowed machine type; may be repeated");
+  sub->add_option("--zone", o.zone, "the only allowed zone");
+  sub->add_flag("--same-place", o.one_zone, "all tasks in one zone");
+  sub->add_flag("--scatter", o.spread, "at most half of the tasks in one zone");
+  sub->add_flag("--no-spot", o.no_spot, "no machines that may be taken back");
+  sub->add_option("--awaits", o.awaits, "a job that has to be done first; may be repeated");
+  sub->add_option("--env", o.env, "NAME=VALUE for its tasks; may be repeated");
+  sub->add_option("--image", o.image, "hash of an image in the depot");
+  sub->add_option("--image-dir", o.image_dir, "a directory that its tasks find as $SHUNT_IMAGE_DIR")
+      ->check(CLI::ExistingDirectory);
+  sub->add_flag("--wait", o.wait, "wait until it is done, as `wait` does");
+  sub->add_option("COMMAND", o.command, "after --: program and arguments");
+  auto* status = app.add_subcommand("status", "show a job's state");
+  add_id(status, o);
+  auto* wait = app.add_subcommand("wait", "wait until a job is done or cancelled");
+  add_id(wait, o);
+  wait->add_option("--timeout-s", o.timeout_s, "give up after so long")
+      ->check(CLI::NonNegativeNumber);
+  auto* withdraw = app.add_subcommand("withdraw", "cancel a job");
+  add_id(withdraw, o);
+  auto* team = app.add_subcommand("team", "show a team's live jobs");
+  team->add_option("TEAM", o.team)->required();
+  auto* out = app.add_subcommand("output", "print what a task wrote to its standard output");
+  add_id(out, o);
+  out->add_option("--task", o.task, "the task's number")->capture_default_str();
+  out->add_flag("--err", o.err, "its standard error instead");
+  auto* up = app.add_subcommand("up", "whether the service can take requests");
+  auto* metrics = app.add_subcommand("metrics", "a controller's counters");
+
+  try {
+    app.parse(argc, argv);
+    ctl::Service service(o.server);
+    for (auto* c : {status, wait, withdraw, out})
+      if (c->parsed() && !wire::valid_job_id(o.id)) usage(o.id + " is no job id (run-DIGITS)");
+    if (sub->parsed()) return submit(service, o);
+    if (status->parsed()) {
+      auto a = service.status(o.id);
+      if (!a) throw ctl::Failed(o.id + ": no such job");
+      show(*a, o);
+      return 0;
+    }
+    if (wait->parsed()) return wait_for(service, o);
+    if (withdraw->parsed()) {
+      show(service.withdraw(o.id), o);
+      return 0;
+    }
+    if (out->parsed()) return output(service, o);
+    if (up->parsed()) {
+      bool ok = service.up();
+      std::printf("%s\n", o.as_json ? (ok ? "{\"up\":true}" : "{\"up\":false}")
+                          : ok      ? "up"
+                                    : "down");
+      return ok ? 0 : 1;
+    }
+    if (team->parsed() || metrics->parsed()) {
+      net::Result r = service.get(team->parsed() ? "/v2/teams/" + o.team : "/metrics");
+      if (r.status == 404)
+        throw ctl::Failed(team->parsed() ? o.team + ": no such team" : "no figures");
+      auto j = json::parse(r.body, nullptr, false);
+      std::printf("%s\n", j.is_discarded() ? r.body.c_str() : j.dump(o.as_json ? -1 : 2).c_str());
+    }
+    return 0;
+  } catch (const CLI::ParseError& e) {
+    int r = app.exit(e);
+    return r == 0 ? 0 : 2;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "shuntctl: %s\n", e.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/agent/lease_page.h
@@ -0,0 +1,29 @@
+// The lease as the agent and all its shepherds see it: one page of memory on a file. The agent
+// writes it, the shepherds only read; it outlives the agent, and a shepherd that reads it needs no
+// answer from anybody to know that its task has to go.
+#pragma once
+#include <cstdint>
+#include <filesystem>
+
+namespace shunt::agent {
+
+class LeasePage {
+ public:
+  enum class Open { read, write };
+  // Throws std::system_error. A page that is absent is made with no session.
+  LeasePage(const std::filesystem::path& file, Open how);
+  ~LeasePage();
+  LeasePage(const LeasePage&) = delete;
+  LeasePage& operator=(const LeasePage&) = delete;
+
+  // `until` in seconds of CLOCK_BOOTTIME. Session 0: no task may be there.
+  void set(std::uint64_t session, double until);
+  std::uint64_t session() const;
+  double until() const;
+
+ private:
+  struct Layout;
+  Layout* p_ = nullptr;
+};
+
+}  // namespace shunt::agent
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -5,9 +5,10 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <numeric>
-#include <pugixml.hpp>
 #include <sstream>
 
+#include "config/xml.h"
+
 namespace shunt::config {
 namespace {
 
@@ -45,18 +46,7 @@
 }
 
 Endpoint endpoint(const json& at, const std::string& path, const char* name) {
-  std::string s = text(at, path, name);
-  auto colon = s.rfind(':');
-  Endpoint e;
-  if (colon == std::string::npos || colon == 0) bad(join(path, name), "is not host:port");
-  e.host = s.substr(0, colon);
-  std::string p = s.substr(colon + 1);
-  if (p.empty() || p.size() > 5 || p.find_first_not_of("0123456789") != std::string::npos)
-    bad(join(path, name), "has a bad port");
-  int port = std::stoi(p);
-  if (port < 1 || port > 65535) bad(join(path, name), "has a bad port");
-  e.port = static_cast<std::uint16_t>(port);
-  return e;
+  return parse_endpoint(text(at, path, name), join(path, name));
 }
 
 template <class List, class Get>
@@ -176,47 +166,29 @@
 
 Tuning parse_tuning(const std::string& input) {
   Tuning t;
-  pugi::xml_document doc;
-  auto ok = doc.load_buffer(input.data(), input.size());
-  if (!ok) bad("tuning", std::string("is not XML: ") + ok.description());
-  pugi::xml_node root = doc.child("shunttrail");
-  if (!root) bad("tuning", "has no <shunttrail> root");
-  struct Field {
-    const char* name;
-    double least, most;
-    double* d;
-    int* i;
+  auto number = [](double& to, double least, double most) {
+    return [&to, least, most](pugi::xml_node n, const std::string& at) {
+      to = xml_number(n.child_value(), at, least, most);
+    };
   };
-  const Field fields[] = {
-      {"waiting-bar", 0, 10000, nullptr, &t.waiting_bar},
-      {"ring", 1, 1000, nullptr, &t.ring},
-      {"lambda", 1.0001, 100, &t.lambda, nullptr},
-      {"idle-start-s", 0.001, 86400, &t.idle_start_s, nullptr},
-      {"idle-cap", 1, 10000, &t.idle_cap, nullptr},
-      {"wait-weight", 0, 1e6, &t.wait_weight, nullptr},
-      {"late-weight", 0, 1e9, &t.late_weight, nullptr},
-      {"hold-s", 1, 600, &t.hold_s, nullptr},
-      {"reply-hold-s", 0, 3, &t.reply_hold_s, nullptr},
+  auto count = [](int& to, int least, int most) {
+    return [&to, least, most](pugi::xml_node n, const std::string& at) {
+      double v = xml_number(n.child_value(), at, least, most);
+      if (v != std::floor(v)) bad(at, "is not a whole number");
+      to = static_cast<int>(v);
+    };
   };
-  for (pugi::xml_node n : root.children()) {
-    if (n.type() != pugi::node_element) continue;
-    const Field* hit = nullptr;
-    for (const Field& f : fields)
-      if (std::string(n.name()) == f.name) hit = &f;
-    if (!hit) bad(std::string("tuning.") + n.name(), "is not a known setting");
-    std::istringstream in(n.child_value());
-    in.imbue(std::locale::classic());
-    double v = 0;
-    std::string rest;
-    if (!(in >> v) || (in >> rest) || !std::isfinite(v) || v < hit->least || v > hit->most)
-      bad(std::string("tuning.") + n.name(), "is not a number in range");
-    if (hit->i) {
-      if (v != std::floor(v)) bad(std::string("tuning.") + n.name(), "is not a whole number");
-      *hit->i = static_cast<int>(v);
-    } else {
-      *hit->d = v;
-    }
-  }
+  pugi::xml_document doc;
+  read_children(load_xml(doc, input, "shunttrail"), "tuning",
+                {{"waiting-bar", count(t.waiting_bar, 0, 10000)},
+                 {"ring", count(t.ring, 1, 1000)},
+                 {"lambda", number(t.lambda, 1.0001, 100)},
+                 {"idle-start-s", number(t.idle_start_s, 0.001, 86400)},
+                 {"idle-cap", number(t.idle_cap, 1, 10000)},
+                 {"wait-weight", number(t.wait_weight, 0, 1e6)},
+                 {"late-weight", number(t.late_weight, 0, 1e9)},
+                 {"hold-s", number(t.hold_s, 1, 600)},
+                 {"reply-hold-s", number(t.reply_hold_s, 0, 3)}});
   return t;
 }
 
--- /dev/null
+++ b/src/ctl/service.h
@@ -0,0 +1,63 @@
+// The service as a user's program sees it: PROTOCOL, "Users -> controller nodes", retries included,
+// and the depot behind the same address. Calls wait for their answers.
+#pragma once
+#include <functional>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+#include "actor/loop.h"
+#include "depot/client.h"
+#include "far/description.h"
+#include "far/far.h"
+#include "net/http.h"
+
+namespace shunt::ctl {
+
+// The service refused, or did not answer within its time. One line.
+struct Failed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Service {
+ public:
+  // "http://HOST:PORT" or "HOST:PORT"; throws Failed for anything else.
+  explicit Service(const std::string& url);
+
+  // Puts the description into the depot, then submits; the same id until one answer is final.
+  // Returns the job's state.
+  far::JobAnswer submit(const far::Description& d);
+  std::optional<far::JobAnswer> status(const std::string& id);  // nothing: no such job
+  far::JobAnswer withdraw(const std::string& id);
+  net::Result get(const std::string& path);  // any path of the service, retried as a poll
+  bool up();
+
+  std::optional<far::Description> description(const std::string& id);
+  std::optional<far::TaskResult> result(const wire::TaskId& t);
+  // A blob into a file; false: it is not there or damaged.
+  bool fetch(const std::string& hash, const std::string& file);
+  std::string upload(const std::string& file);  // its hash
+
+  void sleep(double seconds);
+
+ private:
+  net::Result once(const char* method, const std::string& path, const std::string& body);
+  // Retried as the protocol has it, for up to a minute: statuses that are final are returned.
+  net::Result insist(const char* method, const std::string& path, const std::string& body);
+  // Waits for a call that ends in one callback of these arguments.
+  template <class... A, class Call, class Then>
+  void wait(Call call, Then then);
+  // Asks the depot again for up to a minute, as long as it answers `later`.
+  depot::Outcome ask(const std::function<depot::Outcome()>& once);
+  std::optional<depot::Store::Named> named(const std::string& name);
+
+  actor::Loop loop_;
+  config::Endpoint at_;
+  net::Client http_;
+  depot::Client depot_;
+};
+
+// A job id that nobody else makes: the time and chance.
+std::string fresh_id();
+
+}  // namespace shunt::ctl
--- /dev/null
+++ b/src/far/far.h
@@ -0,0 +1,61 @@
+// The far sides of the protocol's interfaces: what workers, users, the cloud and the state service
+// say and understand. The controllers' side is wire/codec.h; the wire names are shared with it.
+// Decoders throw wire::Malformed and nothing else. Source: PROTOCOL, section by section.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/codec.h"
+
+namespace shunt::far {
+
+// Workers
+std::string encode_report(const wire::Report& r);
+struct Orders {
+  std::optional<std::uint64_t> token;
+  std::optional<std::uint64_t> session;  // of direct orders alone
+  std::vector<wire::Command> commands;   // in order
+  std::vector<std::string> refused;      // one line for each entry that is no command
+};
+// The envelope must be whole; an entry that makes no sense is refused by itself and the others
+// are taken, since none of them may depend on what this version has no word for.
+Orders decode_orders(std::string_view body);
+std::string redirect_of(std::string_view body);  // the node named by a 421, or nothing
+
+// Users
+struct JobAnswer {
+  std::string id;
+  wire::JobState state = wire::JobState::queued;
+  std::uint64_t done = 0, running = 0;
+};
+JobAnswer decode_job_state(std::string_view body);
+
+// Cloud
+std::string encode_types(const std::vector<wire::MachineType>& types);
+struct RentRequest {
+  std::string name, type, zone;
+  bool spot = false;
+  int count = 0;
+};
+RentRequest decode_rent(std::string_view body);
+std::string encode_rented(const std::vector<std::string>& machines);
+std::string encode_machines(const wire::MachineList& l);
+std::vector<std::string> decode_delete(std::string_view body);
+
+// State service
+wire::Txn decode_txn(std::string_view body);
+std::uint64_t decode_life_ms(std::string_view body);
+// `value` is JSON text already.
+std::string encode_entry(const std::string& key, const std::string& value, std::uint64_t stamp,
+                         std::uint64_t lease);
+std::string encode_watch(std::uint64_t revision, const std::vector<wire::Event>& events);
+std::string encode_page(const std::vector<std::string>& entries, bool more, std::uint64_t revision);
+std::string encode_failed(const std::vector<std::string>& keys, std::uint64_t revision);
+std::string encode_revision(std::uint64_t revision);
+std::string encode_lease(std::uint64_t lease);
+
+}  // namespace shunt::far
--- /dev/null
+++ b/src/local/set.h
@@ -0,0 +1,58 @@
+// The whole service on one machine: controllers, a depot, a state service and a cloud whose
+// machines are agents, all of them processes of this one. State stays in its directory; a second
+// start goes on with it.
+#pragma once
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "actor/loop.h"
+#include "agent/procs.h"
+#include "local/children.h"
+#include "local/door.h"
+#include "local/settings.h"
+#include "standins/cloud.h"
+
+namespace shunt::local {
+
+class LocalSet : public actor::Actor {
+ public:
+  // `programs`: where shunttrail and shunt-agent are. `self`: this program, which also serves as
+  // the state service and the depot. Throws std::runtime_error: another set has the directory, or
+  // an address cannot be had.
+  LocalSet(actor::Loop& loop, Settings s, std::filesystem::path dir,
+           const std::filesystem::path& programs, const std::filesystem::path& self,
+           std::uint16_t port, std::function<void(std::string url)> ready);
+
+  // Ends every process and every task, in an order that loses nothing; `gone` runs then.
+  void end(std::function<void()> gone);
+
+  Children& children() { return children_; }
+  standins::Cloud& cloud() { return *cloud_; }
+  std::filesystem::path machine_dir(const std::string& name) const;
+
+ private:
+  config::Endpoint take_address();
+  void power_on(const standins::Cloud::Machine& m);
+  void power_off(std::vector<std::string> machines, std::function<void()> done);
+  void look();
+
+  Settings settings_;
+  std::filesystem::path dir_, programs_;
+  agent::Fd lock_;
+  std::set<std::uint16_t> taken_;
+  std::uint16_t next_port_ = 20000;
+  std::vector<Place> places_;
+  config::Endpoint front_, state_at_, depot_at_, cloud_at_;
+  Children children_;
+  std::unique_ptr<standins::Cloud> cloud_;
+  std::unique_ptr<Door> door_;
+  std::unique_ptr<net::Client> probe_;
+  std::function<void(std::string)> ready_;
+  bool ending_ = false;
+  actor::Timer timer_;
+};
+
+}  // namespace shunt::local
--- /dev/null
+++ b/src/local/settings.h
@@ -0,0 +1,37 @@
+// Settings of the set that runs on one machine (deploy/local.xml), and the files made from them for
+// its processes. Errors are config::BadSettings, one line that names the element and the reason.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "standins/cloud.h"
+
+namespace shunt::local {
+
+struct Settings {
+  int controllers = 3;
+  std::vector<std::string> zones;
+  std::vector<config::Team> teams;
+  std::vector<standins::CloudType> types;
+  double report_s = 1, lease_s = 6, cancel_s = 14;
+  double cloud_rps = 20, list_lag_s = 1;
+  double disk_reserve_mb = 256, file_mb = 1024, cache_gb = 10;
+};
+
+Settings parse_settings(const std::string& xml);
+
+struct Place {
+  std::string name, zone;
+  config::Endpoint front, internal;
+};
+// What a controller is started with: the platform's JSON file.
+std::string controller_settings(const Settings& s, const std::vector<Place>& all, std::size_t self,
+                                const config::Endpoint& state, const config::Endpoint& cloud);
+// What a machine's agent is started with: its XML file.
+std::string agent_settings(const Settings& s, const std::vector<Place>& all,
+                           const standins::Cloud::Machine& m, const config::Endpoint& depot);
+
+std::string text(const config::Endpoint& e);
+
+}  // namespace shunt::local
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <cstring>
 
 namespace shunt::net {
@@ -50,6 +51,7 @@
 
 Exchange::Exchange(evhttp_request* r) : req_(r) {
   post = evhttp_request_get_command(r) == EVHTTP_REQ_POST;
+  del = evhttp_request_get_command(r) == EVHTTP_REQ_DELETE;
   if (const evhttp_uri* u = evhttp_request_get_evhttp_uri(r)) {
     if (const char* p = evhttp_uri_get_path(u)) path = p;
     if (const char* q = evhttp_uri_get_query(u)) query = q;
@@ -82,13 +84,15 @@
   return out;
 }
 
-Server::Server(actor::Loop& loop, const config::Endpoint& at, std::size_t max_body, Handler handler)
+Server::Server(actor::Loop& loop, const config::Endpoint& at, std::size_t max_body, Handler handler,
+               bool deletes)
     : handler_(std::move(handler)), http_(evhttp_new(loop.base())) {
   evhttp* h = http_.get();
   evhttp_set_max_body_size(h, static_cast<ssize_t>(max_body));
   evhttp_set_max_headers_size(h, 16 * 1024);
   evhttp_set_timeout(h, 60);
-  evhttp_set_allowed_methods(h, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
+  evhttp_set_allowed_methods(h,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | (deletes ? EVHTTP_REQ_DELETE : 0));
   evhttp_set_gencb(
       h,
       [](evhttp_request* r, void* self) {
@@ -176,7 +180,11 @@
   Result res;
   if (r) {
     res.status = evhttp_request_get_response_code(r);
-    if (res.status) res.body = take(evhttp_request_get_input_buffer(r));
+    if (res.status) {
+      res.body = take(evhttp_request_get_input_buffer(r));
+      const char* later = evhttp_find_header(evhttp_request_get_input_headers(r), "Retry-After");
+      if (later) res.retry_after_s = std::atof(later);
+    }
   }
   auto it = std::find_if(busy_.begin(), busy_.end(), [&](auto& p) { return p.get() == call; });
   if (it == busy_.end()) return;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -30,6 +30,7 @@
   bool answered() const { return req_ == nullptr; }
 
   bool post = false;
+  bool del = false;   // DELETE, where the server takes it
   std::string path;   // without the query
   std::string query;  // undecoded
   std::string body;
@@ -45,7 +46,9 @@
 class Server {
  public:
   using Handler = std::function<void(ExchangePtr)>;
-  Server(actor::Loop& loop, const config::Endpoint& at, std::size_t max_body, Handler handler);
+  // `deletes`: DELETE is taken as well, otherwise only GET and POST are.
+  Server(actor::Loop& loop, const config::Endpoint& at, std::size_t max_body, Handler handler,
+         bool deletes = false);
 
  private:
   struct HttpFree {
@@ -58,6 +61,7 @@
 struct Result {
   int status = 0;  // 0: no answer
   std::string body;
+  double retry_after_s = 0;  // as the answer has it; 0: it does not say
 };
 
 class Client {
--- /dev/null
+++ b/src/standins/cloud.cpp
@@ -0,0 +1,161 @@
+#include "standins/cloud.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "depot/store.h"
+#include "far/far.h"
+
+namespace shunt::standins {
+using nlohmann::json;
+
+Cloud::Cloud(actor::Loop& loop, const config::Endpoint& at, std::vector<CloudType> types,
+             double rps, std::filesystem::path file, Power power)
+    : Actor(loop),
+      types_(std::move(types)),
+      rps_(rps),
+      tokens_(2 * rps),
+      refilled_(actor::Loop::now()),
+      file_(std::move(file)),
+      power_(std::move(power)),
+      rng_(std::random_device{}()),
+      timer_(loop, [this] { boot(); }),
+      http_(loop, at, 64 * 1024, [this](net::ExchangePtr ex) {
+        if (!paced()) return ex->send({429, "{}", 0});
+        try {
+          if (ex->path == "/machine_types" && !ex->post) {
+            std::vector<wire::MachineType> all;
+            for (const auto& t : types_) all.push_back(t.spec);
+            return ex->send({200, far::encode_types(all), 0});
+          }
+          if (ex->path == "/rentals" && ex->post) return ex->send(rent(ex->body));
+          if (ex->path == "/rentals/delete" && ex->post) return remove(ex);
+          if (ex->path == "/rentals") return ex->send(list(ex->query));
+          ex->send({404, "{}", 0});
+        } catch (const wire::Malformed& e) {
+          ex->send({400, json{{"error", e.what()}}.dump(), 0});
+        }
+      }) {
+  load();
+  timer_.after(0);
+}
+
+bool Cloud::paced() {
+  double now = actor::Loop::now();
+  tokens_ = std::min(2 * rps_, tokens_ + (now - refilled_) * rps_);
+  refilled_ = now;
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+net::Answer Cloud::rent(const std::string& body) {
+  far::RentRequest r = far::decode_rent(body);
+  if (auto it = requests_.find(r.name); it != requests_.end())
+    return {200, far::encode_rented(it->second), 0};
+  auto type = std::find_if(types_.begin(), types_.end(),
+                           [&](const CloudType& t) { return t.spec.name == r.type; });
+  if (type == types_.end() ||
+      std::find(type->spec.zones.begin(), type->spec.zones.end(), r.zone) == type->spec.zones.end())
+    throw wire::Malformed("no such type or zone");
+  auto up = std::count_if(machines_.begin(), machines_.end(),
+                          [&](const auto& m) { return m.second.type == r.type; });
+  int n = std::min<int>(r.count, type->most - static_cast<int>(up));
+  if (n <= 0 || refusing_) return {503, "{\"error\":\"no capacity\"}", 0};
+  auto& names = requests_[r.name];
+  for (int i = 0; i < n; ++i) {
+    std::string number = std::to_string(next_++);
+    Machine m;
+    m.name = "m-" + std::string(6 - std::min<std::size_t>(6, number.size()), '0') + number;
+    m.type = r.type;
+    m.zone = r.zone;
+    m.spot = r.spot;
+    m.address = power_.address();
+    m.rented_at = actor::Loop::wall_now();
+    m.boots_at =
+        actor::Loop::now() + type->spec.boot_s * std::uniform_real_distribution<>(0.6, 1.5)(rng_);
+    names.push_back(m.name);
+    machines_[m.name] = std::move(m);
+  }
+  save();
+  timer_.after(0);
+  return {200, far::encode_rented(names), 0};
+}
+
+void Cloud::remove(net::ExchangePtr ex) {
+  std::vector<std::string> there;
+  for (const auto& name : far::decode_delete(ex->body))
+    if (machines_.contains(name)) there.push_back(name);
+  // They stay listed until they are gone, and are answered for only then.
+  power_.off(there, reply<>([this, ex, there] {
+               for (const auto& name : there) machines_.erase(name);
+               save();
+               ex->send({200, "{}", 0});
+             }));
+}
+
+net::Answer Cloud::list(const std::string& query) const {
+  std::string after = net::query_value(query, "after"), limit = net::query_value(query, "limit");
+  std::size_t most = 500;
+  if (!limit.empty() && limit.size() < 6 &&
+      limit.find_first_not_of("0123456789") == std::string::npos)
+    most = std::min<std::size_t>(most, std::stoul(limit));
+  wire::MachineList l;
+  for (auto it = machines_.upper_bound(after); it != machines_.end(); ++it) {
+    if (l.machines.size() >= most) {
+      l.more = true;
+      break;
+    }
+    const Machine& m = it->second;
+    l.machines.push_back({m.name, m.address, m.type, m.zone, m.on ? "running" : "booting", m.spot,
+                          actor::Loop::wall_now() - m.rented_at});
+  }
+  return {200, far::encode_machines(l), 0};
+}
+
+void Cloud::boot() {
+  double now = actor::Loop::now(), next = now + 1;
+  for (auto& [name, m] : machines_) {
+    if (m.on) continue;
+    if (m.boots_at <= now) {
+      m.on = true;
+      power_.on(m);
+    } else {
+      next = std::min(next, m.boots_at);
+    }
+  }
+  timer_.after(next - now);
+}
+
+void Cloud::save() const {
+  json j = {{"next", next_}, {"requests", requests_}, {"machines", json::array()}};
+  for (const auto& [name, m] : machines_)
+    j["machines"].push_back({{"name", name},
+                             {"type", m.type},
+                             {"zone", m.zone},
+                             {"spot", m.spot},
+                             {"rented_at", m.rented_at}});
+  depot::write_whole(file_, j.dump());
+}
+
+void Cloud::load() {
+  std::ifstream in(file_);
+  if (!in) return;
+  json j = json::parse(in, nullptr, false);
+  if (!j.is_object()) throw std::runtime_error(file_.string() + " is damaged");
+  next_ = j["next"];
+  requests_ = j["requests"].get<decltype(requests_)>();
+  for (const auto& e : j["machines"]) {
+    Machine m;
+    m.name = e["name"];
+    m.type = e["type"];
+    m.zone = e["zone"];
+    m.spot = e["spot"];
+    m.rented_at = e["rented_at"];
+    m.address = power_.address();
+    machines_[m.name] = std::move(m);
+  }
+}
+
+}  // namespace shunt::standins
--- /dev/null
+++ b/src/standins/cloud.h
@@ -0,0 +1,64 @@
+// A stand-in for the cloud: PROTOCOL, "Controller nodes -> cloud". Its machines are whatever
+// `Power` switches on and off; rentals and the answers to named requests are kept in a file.
+#pragma once
+#include <deque>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+#include "actor/loop.h"
+#include "net/http.h"
+#include "wire/types.h"
+
+namespace shunt::standins {
+
+struct CloudType {
+  wire::MachineType spec;
+  int most = 0;  // machines of this type at a time, over all zones
+};
+
+class Cloud : public actor::Actor {
+ public:
+  struct Machine {
+    std::string name, type, zone, address;
+    bool spot = false, on = false;
+    double rented_at = 0;  // wall clock
+    double boots_at = 0;   // steady
+  };
+  struct Power {
+    std::function<std::string()> address;    // where a new machine will be found
+    std::function<void(const Machine&)> on;  // it has booted
+    std::function<void(std::vector<std::string>, std::function<void()>)> off;  // then all are gone
+  };
+  Cloud(actor::Loop& loop, const config::Endpoint& at, std::vector<CloudType> types, double rps,
+        std::filesystem::path file, Power power);
+
+  const std::map<std::string, Machine>& machines() const { return machines_; }
+  // From now on rentals are refused (or not any more), as when the cloud has nothing to give.
+  void refuse(bool on) { refusing_ = on; }
+
+ private:
+  net::Answer rent(const std::string& body);
+  void remove(net::ExchangePtr ex);
+  net::Answer list(const std::string& query) const;
+  bool paced();
+  void boot();
+  void save() const;
+  void load();
+
+  std::vector<CloudType> types_;
+  double rps_, tokens_, refilled_;
+  std::filesystem::path file_;
+  Power power_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, std::vector<std::string>> requests_;
+  std::uint64_t next_ = 1;
+  bool refusing_ = false;
+  std::mt19937 rng_;
+  actor::Timer timer_;
+  net::Server http_;
+};
+
+}  // namespace shunt::standins
--- /dev/null
+++ b/src/standins/state.h
@@ -0,0 +1,62 @@
+// A stand-in for the state service, for sets on one machine: PROTOCOL, "Controller nodes -> state
+// service", without the rates. What it holds is in one log of JSON lines, synced before an answer;
+// a torn last line is what nobody was told of. Written anew at each start.
+#pragma once
+#include <deque>
+#include <filesystem>
+#include <map>
+#include <set>
+#include <string>
+
+#include "actor/loop.h"
+#include "net/http.h"
+#include "wire/types.h"
+
+namespace shunt::standins {
+
+class State : public actor::Actor {
+ public:
+  // Without a file nothing is kept.
+  State(actor::Loop& loop, const config::Endpoint& at, std::filesystem::path log);
+  ~State() override;
+
+ private:
+  struct Entry {
+    std::string value;
+    std::uint64_t stamp = 0, lease = 0;
+  };
+  struct Lease {
+    double life_s = 0, until = 0;
+    std::set<std::string> keys;
+  };
+  struct Watcher {
+    std::string prefix;
+    std::uint64_t after = 0;
+    double until = 0;
+    net::ExchangePtr ex;
+  };
+  net::Answer answer(net::ExchangePtr ex);
+  net::Answer get(const std::string& key);
+  net::Answer page(const std::string& query);
+  net::Answer commit(const std::string& body);
+  net::Answer holds(const net::Exchange& ex);
+  void watch(net::ExchangePtr ex);
+  std::string changes(const std::string& prefix, std::uint64_t after, bool& any) const;
+  void apply(const wire::Txn& t, std::uint64_t revision);
+  void drop_lease(std::uint64_t id);
+  void tick();
+  void load();
+  void write(const std::string& line);
+
+  std::map<std::string, Entry> keys_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::deque<wire::Event> recent_;
+  std::uint64_t revision_ = 0, next_lease_ = 1, first_recent_ = 0;
+  std::deque<Watcher> watchers_;
+  std::filesystem::path log_;
+  int fd_ = -1;
+  actor::Timer timer_;
+  net::Server http_;
+};
+
+}  // namespace shunt::standins
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -10,102 +10,12 @@
 #include <sstream>
 #include <unordered_map>
 
+#include "wire/fields.h"
+
 namespace shunt::wire {
 namespace {
 
-using nlohmann::json;
-
-json parse(std::string_view text) {
-  // Depth is bounded here: a body of brackets alone must not exhaust the stack.
-  int depth = 0;
-  bool in_string = false, escaped = false;
-  for (char c : text) {
-    if (in_string) {
-      if (escaped)
-        escaped = false;
-      else if (c == '\\')
-        escaped = true;
-      else if (c == '"')
-        in_string = false;
-    } else if (c == '"') {
-      in_string = true;
-    } else if (c == '[' || c == '{') {
-      if (++depth > 64) throw Malformed("nested too deep");
-    } else if (c == ']' || c == '}') {
-      --depth;
-    }
-  }
-  json j = json::parse(text, nullptr, false);
-  if (j.is_discarded()) throw Malformed("not JSON");
-  if (!j.is_object()) throw Malformed("not an object");
-  return j;
-}
-
-const json* find(const json& j, const char* name) {
-  if (!j.is_object()) throw Malformed("not an object");
-  auto it = j.find(name);
-  return it == j.end() || it->is_null() ? nullptr : &*it;
-}
-const json& need(const json& j, const char* name) {
-  const json* v = find(j, name);
-  if (!v) throw Malformed(std::string(name) + " is missing");
-  return *v;
-}
-std::string as_text(const json& v, const char* name) {
-  if (!v.is_string()) throw Malformed(std::string(name) + " is not a string");
-  const auto& s = v.get_ref<const std::string&>();
-  if (s.empty() || s.size() > 256) throw Malformed(std::string(name) + " has a bad length");
-  for (unsigned char c : s)
-    if (c < 0x20) throw Malformed(std::string(name) + " holds a control character");
-  return s;
-}
-std::string text(const json& j, const char* name) { return as_text(need(j, name), name); }
-std::string text_or(const json& j, const char* name, std::string def) {
-  const json* v = find(j, name);
-  return v && v->is_string() ? v->get<std::string>() : def;
-}
-double as_number(const json& v, const char* name, double least, double most = 1e9) {
-  if (!v.is_number()) throw Malformed(std::string(name) + " is not a number");
-  double d = v.get<double>();
-  if (!std::isfinite(d) || d < least || d > most)
-    throw Malformed(std::string(name) + " is out of range");
-  return d;
-}
-double number(const json& j, const char* name, double least) {
-  return as_number(need(j, name), name, least);
-}
-std::uint64_t as_whole(const json& v, const char* name) {
-  if (v.is_number_unsigned()) return v.get<std::uint64_t>();
-  throw Malformed(std::string(name) + " is not a count");
-}
-std::uint64_t whole(const json& j, const char* name) { return as_whole(need(j, name), name); }
-bool flag(const json& j, const char* name) {
-  const json& v = need(j, name);
-  if (!v.is_boolean()) throw Malformed(std::string(name) + " is not true or false");
-  return v.get<bool>();
-}
-const json& list(const json& j, const char* name) {
-  const json& v = need(j, name);
-  if (!v.is_array()) throw Malformed(std::string(name) + " is not a list");
-  return v;
-}
-
 const char* const kPriorityNames[] = {"critical", "high", "standard", "idle"};
-const char* const kRunNames[] = {"pulling", "running", "flushing", "exited"};
-
-std::string task_name(const TaskId& t) { return t.job + "/" + std::to_string(t.index); }
-TaskId task_id(const std::string& s) {
-  auto slash = s.find('/');
-  if (slash == std::string::npos) throw Malformed("a task's name has no number");
-  TaskId t;
-  t.job = s.substr(0, slash);
-  std::string n = s.substr(slash + 1);
-  if (!valid_job_id(t.job) || n.empty() || n.size() > 6 ||
-      n.find_first_not_of("0123456789") != std::string::npos)
-    throw Malformed("a task's name is bad");
-  t.index = static_cast<std::uint32_t>(std::stoul(n));
-  return t;
-}
 
 JobSpec job_of(const json& j) {
   JobSpec s;
@@ -198,16 +108,6 @@
   return out;
 }
 
-// A decoder's errors are Malformed and nothing else, whatever the JSON library throws.
-template <class F>
-auto guarded(std::string_view body, F f) {
-  try {
-    return f(parse(body));
-  } catch (const json::exception& e) {
-    throw Malformed(e.what());
-  }
-}
-
 // The value of an event, parsed once only.
 template <class F>
 auto of_value(const Event& e, F f) {
@@ -229,6 +129,11 @@
 }
 
 JobSpec decode_job(std::string_view body) { return guarded(body, job_of); }
+std::string encode_job(const JobSpec& s) {
+  json j = job_json(s);
+  if (!s.awaits.empty()) j["awaits"] = s.awaits;
+  return j.dump();
+}
 
 const char* state_name(JobState s) {
   static const char* const names[] = {"queued", "running", "done", "cancelled"};
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -42,6 +42,7 @@
   std::uint64_t attempt = 0;
   RunState state = RunState::fetching;
   Why why = Why::none;
+  bool kept = false;  // stopped, and its progress was saved
 };
 
 struct Report {
