Agents proved on loopback: kill points, generated commands, a trial with random kills

Need: what the agent promises has to hold when it is killed between any two of its steps. A page is written before a record begins; SIGUSR1 is not ignored for a task (a shell could not trap it); SIGXFSZ is an error of write.

--- a/app/shunt-agent.cpp
+++ b/app/shunt-agent.cpp
@@ -62,6 +62,7 @@
   }
   if (check) return 0;
   ::signal(SIGPIPE, SIG_IGN);
+  ::signal(SIGXFSZ, SIG_IGN);  // as a full disk: an error of write
   log::open("shunt-agent");
   try {
     actor::Loop loop;
--- /dev/null
+++ b/app/shunt-trial.cpp
@@ -0,0 +1,38 @@
+// Runs the trial on one machine and prints its figures; exits 1 if a task's history has a fault.
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "checker/trial.h"
+
+int main(int argc, char** argv) {
+  using namespace shunt;
+  CLI::App app{
+      "shunt-trial: kill parts of a set on one machine and check what became of its tasks"};
+  app.set_version_flag("--version", std::string("shunt-trial 0.1.0"));
+  checker::Plan p;
+  std::string dir;
+  app.add_option("--dir", dir, "an empty directory")->required();
+  app.add_option("--tasks", p.tasks)->check(CLI::Range(1, 100000))->capture_default_str();
+  app.add_option("--machines", p.machines)->check(CLI::Range(1, 100))->capture_default_str();
+  app.add_option("--kill-every-s", p.kill_every_s, "0: nothing is killed")->capture_default_str();
+  app.add_option("--limit-s", p.limit_s)->capture_default_str();
+  app.add_option("--seed", p.seed)->capture_default_str();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+  ::signal(SIGPIPE, SIG_IGN);
+  p.dir = std::filesystem::absolute(dir);
+  p.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  try {
+    checker::Outcome o = checker::run(p);
+    std::printf("%s\n", checker::to_json(o).c_str());
+    return o.faults.empty() ? 0 : 1;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "shunt-trial: %s\n", e.what());
+    return 1;
+  }
+}
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -71,8 +71,9 @@
   double now = boot_now();
   if (!was) {
     end_all(places_);  // of a record that somebody has removed
-    record_.begin(settings_.machine, boot, book_);
+    // The page first: a record without it would be of a session that is over.
     page_.set(book_.session, lease_.until());
+    record_.begin(settings_.machine, boot, book_);
   } else {
     book_ = *was;
     bool same_boot = record_.boot() == boot;
--- a/src/agent/shepherd.cpp
+++ b/src/agent/shepherd.cpp
@@ -88,6 +88,9 @@
 namespace {
 
 constexpr int kSavedFd = 3;
+// A terminal's or an operator's signals to the group; a file that grows too long is an error of
+// write.
+constexpr int kNotForIt[] = {SIGINT, SIGHUP, SIGTERM, SIGPIPE, SIGXFSZ};
 constexpr int kLimitExit = 124;  // as timeout(1) has it
 
 std::string slurp(const fs::path& p) {
@@ -109,8 +112,7 @@
     sigemptyset(&set);
     for (int s : {SIGUSR1, SIGCHLD}) sigaddset(&set, s);
     sigprocmask(SIG_BLOCK, &set, nullptr);
-    // A terminal's or an operator's signals to the group are not for the shepherd.
-    for (int s : {SIGINT, SIGHUP, SIGTERM, SIGPIPE}) ::signal(s, SIG_IGN);
+    for (int s : kNotForIt) ::signal(s, SIG_IGN);
     signals_ = Fd(::signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK));
     timer_ = Fd(::timerfd_create(CLOCK_BOOTTIME, TFD_CLOEXEC | TFD_NONBLOCK));
     Identity me = identity_of(::getpid());
@@ -190,9 +192,7 @@
       sigset_t none;
       sigemptyset(&none);
       sigprocmask(SIG_SETMASK, &none, nullptr);
-      for (int s : {SIGINT, SIGHUP, SIGTERM, SIGPIPE}) ::signal(s, SIG_DFL);
-      // Until a program takes it as its request to save, it must not end the task.
-      ::signal(SIGUSR1, SIG_IGN);
+      for (int s : kNotForIt) ::signal(s, SIG_DFL);
       // The number that the task is to have may be one of these: above it first.
       int report = ::fcntl(exec_in.get(), F_DUPFD_CLOEXEC, 10);
       int saves = ::fcntl(saves_in.get(), F_DUPFD_CLOEXEC, 10);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -180,6 +180,8 @@
               {"mates_gone", Why::stopped}, {"alone", Why::stopped}};
           auto it = whys.find(text_or(c, "stop_cause", "error"));
           t.why = it == whys.end() ? Why::error : it->second;
+          const json* kept = find(c, "kept");
+          t.kept = kept && kept->is_boolean() && kept->get<bool>();
         }
         r.tasks.push_back(std::move(t));
       }
--- /dev/null
+++ b/tests/agent_process_test.cpp
@@ -0,0 +1,332 @@
+// The agent as a process, with shepherds and tasks as processes: killed, stopped, cut off and
+// brought back. Nothing here depends on how long anything takes, beyond leases that are to run out.
+#include <sys/resource.h>
+
+#include "agent_rig.h"
+#include "depot/archive.h"
+
+namespace shunt::test {
+namespace {
+
+class KillPoint : public testing::TestWithParam<const char*> {};
+
+// Killed between any two of its durable steps and started again, an agent loses no task, runs none
+// twice and reports one end.
+TEST_P(KillPoint, OneTaskOneBeginOneEnd) {
+  Rig rig;
+  std::string id = rig.add("echo out; sleep 0.3");
+  rig.start(GetParam());
+  bool killed = false;
+  ASSERT_TRUE(rig.until([&] {
+    if (rig.agent_ended()) {
+      killed = true;
+      rig.start();
+    }
+    // Also what is reaped is on record: one more report after the end.
+    return rig.tasks[id].done > 0 && killed && rig.last.tasks.empty();
+  })) << slurp(rig.dir / "agent.log");
+  EXPECT_EQ(rig.tasks[id].done, 1);
+  EXPECT_EQ(rig.tasks[id].lost, 0);
+  EXPECT_EQ(rig.last.session, 1u);
+  EXPECT_EQ(rig.logged("begin"), 1);
+  EXPECT_EQ(rig.logged("end"), 1);
+  EXPECT_EQ(rig.logged("overlap"), 0);
+  // On record as started, but killed before it could start it: that attempt ends with an error.
+  EXPECT_EQ(rig.tasks[id].failed, std::string(GetParam()) == "launched.after" ? 1 : 0);
+}
+INSTANTIATE_TEST_SUITE_P(EveryStep, KillPoint,
+                         testing::Values("begin.before", "begin.after", "seq.before", "seq.after",
+                                         "orders.before", "orders.after", "described.before",
+                                         "described.after", "launched.before", "launched.after",
+                                         "ended.before", "ended.after", "exited.before",
+                                         "exited.after", "orders.before:2", "orders.after:2"));
+
+TEST(AgentProcess, KilledMidTaskItComesBackAndTheTaskHasGoneOn) {
+  Rig rig;
+  std::string id = rig.add("until [ -e " + (rig.dir / "go").string() + " ]; do sleep 0.05; done");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  rig.kill_agent();
+  std::ofstream(rig.dir / "go");  // it ends while nobody looks
+  ASSERT_TRUE(rig.until_logged("end"));
+  rig.start();
+  ASSERT_TRUE(rig.until_done(id));
+  EXPECT_EQ(rig.tasks[id].attempt, 1u);
+  EXPECT_EQ(rig.logged("begin"), 1);
+}
+
+// Guard: with the agent dead, only the shepherd knows that the lease is over.
+TEST(AgentProcess, TheLeaseIsKeptWhileTheAgentIsDeadAndTheNextSessionBegins) {
+  Rig rig(3);
+  std::string id = rig.add("sleep 1000");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  ASSERT_TRUE(rig.until([&] { return rig.last.tasks.size() == 1; }));
+  rig.kill_agent();
+  const fs::path task = rig.dir / "m" / "tasks" / (id + ".0.1");
+  ASSERT_TRUE(rig.until([&] { return fs::exists(task / "end.json"); }));
+  EXPECT_TRUE(rig.nothing_left_of(id));
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.tasks[id].lost == 1; }));
+  EXPECT_EQ(rig.last.session, 2u);
+  EXPECT_EQ(rig.logged("overlap"), 0);
+}
+
+TEST(AgentProcess, HungBeyondItsLeaseItGoesOnWithTheNextSession) {
+  Rig rig(3);
+  std::string id = rig.add("sleep 1000");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  ASSERT_TRUE(rig.until([&] { return rig.last.tasks.size() == 1; }));
+  ::kill(rig.pid, SIGSTOP);
+  const fs::path task = rig.dir / "m" / "tasks" / (id + ".0.1");
+  ASSERT_TRUE(rig.until([&] { return fs::exists(task / "end.json"); }));
+  int before = rig.reports;
+  ::kill(rig.pid, SIGCONT);
+  ASSERT_TRUE(rig.until([&] { return rig.reports > before && rig.last.session == 2; }));
+  ASSERT_TRUE(rig.until([&] { return rig.logged("begin") == 2; }));
+  EXPECT_EQ(rig.logged("overlap"), 0);
+}
+
+// A shepherd that is killed takes the task with it, and the agent ends what the task had put into
+// sessions of its own.
+TEST(AgentProcess, AShepherdIsKilledAndNothingOfItsTaskStays) {
+  Rig rig;
+  std::string id = rig.add("[ $SHUNT_ATTEMPT = 2 ] && exit 0; setsid sleep 1000 & echo forked >> " +
+                           rig.log().string() + "; sleep 1000");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("forked"));
+  auto j = nlohmann::json::parse(slurp(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  ::kill(j["pid"].get<pid_t>(), SIGKILL);
+  ASSERT_TRUE(rig.until_done(id));
+  EXPECT_EQ(rig.tasks[id].failed, 1);
+  EXPECT_EQ(rig.logged("overlap"), 0);  // the forked one held the lock, too
+}
+
+// The task ignores what it is told, and what it has started is not its child any more.
+TEST(AgentProcess, AHaltEndsATaskThatIgnoresItAndAllThatItForked) {
+  Rig rig;
+  std::string id = rig.add(
+      "trap '' TERM INT HUP USR1; (setsid bash -c 'trap \"\" TERM; sleep 1000' &); echo forked "
+      ">> " +
+          rig.log().string() + "; while true; do sleep 1; done",
+      5);
+  rig.grace_s = 1;
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("forked"));
+  rig.tasks[id].cancelled = true;
+  ASSERT_TRUE(rig.until([&] { return rig.tasks[id].failed == 1; }));
+  EXPECT_EQ(rig.tasks[id].why, std::to_string(static_cast<int>(wire::Why::stopped)));
+  EXPECT_TRUE(rig.nothing_left_of(id));
+}
+
+// A shepherd that stands still is not waited for: a cancelled task has to be gone in time.
+TEST(AgentProcess, AHaltDoesNotWaitForAShepherdThatStandsStill) {
+  Rig rig;
+  std::string id = rig.add("sleep 1000");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  auto j = nlohmann::json::parse(slurp(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  ::kill(j["pid"].get<pid_t>(), SIGSTOP);
+  rig.tasks[id].cancelled = true;
+  ASSERT_TRUE(rig.until([&] { return rig.tasks[id].failed == 1; }));
+  EXPECT_TRUE(rig.nothing_left_of(id));
+}
+
+TEST(AgentProcess, SavesWhenItIsStoppedAndGoesOnFromThere) {
+  Rig rig;
+  std::string id =
+      rig.add("n=$(cat $SHUNT_SAVE_DIR/last/n 2>/dev/null || echo 0); echo from $n >> " +
+                  rig.log().string() +
+                  "; [ $n = 7 ] && exit 0; save() { mkdir $SHUNT_SAVE_DIR/next; echo 7 > "
+                  "$SHUNT_SAVE_DIR/next/n; echo saved >&3; }; trap save USR1; echo ready >> " +
+                  rig.log().string() + "; while true; do sleep 0.05; done",
+              30);
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("ready"));
+  rig.tasks[id].cancelled = true;
+  ASSERT_TRUE(rig.until([&] { return rig.tasks[id].failed == 1; }));
+  EXPECT_EQ(rig.tasks[id].why, std::to_string(static_cast<int>(wire::Why::stopped)) + "kept");
+  rig.tasks[id].cancelled = false;
+  ASSERT_TRUE(rig.until_done(id)) << slurp(rig.dir / "agent.log");
+  EXPECT_EQ(rig.logged("from 0"), 1);
+  EXPECT_EQ(rig.logged("from 7"), 1);
+}
+
+// What a task has saved by itself is outside the machine before the machine is lost.
+TEST(AgentProcess, ALostMachineCostsNoMoreThanTheLastCheckpoint) {
+  Rig rig;
+  std::string id =
+      rig.add("n=$(cat $SHUNT_SAVE_DIR/last/n 2>/dev/null || echo 0); echo from $n >> " +
+                  rig.log().string() +
+                  "; while [ $n -lt 3 ]; do n=$((n+1)); mkdir $SHUNT_SAVE_DIR/next; echo $n > "
+                  "$SHUNT_SAVE_DIR/next/n; echo >&3; while [ -e $SHUNT_SAVE_DIR/next ]; do sleep "
+                  "0.01; done; "
+                  "[ $n = 2 ] && [ $SHUNT_ATTEMPT = 1 ] && sleep 1000; done; true",
+              1);
+  rig.start();
+  ASSERT_TRUE(rig.until([&] {
+    auto n = depot::Store(rig.dir / "depot").get_name(far::save_name({id, 0}));
+    return n && n->part == 2;
+  })) << slurp(rig.dir / "agent.log");
+  rig.kill_agent();
+  ASSERT_TRUE(agent::end_all({rig.dir / "m"}));  // as when its power fails
+  fs::remove_all(rig.dir / "m");
+  rig.tasks[id].attempt = 2;
+  rig.tasks[id].sent = false;
+  rig.start();
+  ASSERT_TRUE(rig.until_done(id)) << slurp(rig.dir / "agent.log");
+  EXPECT_EQ(rig.logged("from 2"), 1);
+}
+
+TEST(AgentProcess, AResultWaitsForTheDepotAndForTheControllers) {
+  Rig rig;
+  std::string id = rig.add("echo the result; until [ -e " + (rig.dir / "go").string() +
+                           " ]; do sleep 0.05; done");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  rig.close_depot();
+  rig.close_controller();
+  std::ofstream(rig.dir / "go");
+  ASSERT_TRUE(rig.until_logged("end"));
+  rig.open_controller();
+  int before = rig.reports;
+  ASSERT_TRUE(rig.until([&] { return rig.reports > before + 2; }));
+  EXPECT_EQ(rig.tasks[id].done, 0);  // its result is not safe
+  EXPECT_EQ(rig.last.tasks.at(0).state, wire::RunState::running);
+  rig.open_depot();
+  ASSERT_TRUE(rig.until_done(id));
+  auto r = far::decode_result(
+      depot::Store(rig.dir / "depot").get_name(far::result_name({id, 0}))->value);
+  EXPECT_EQ(*depot::Store(rig.dir / "depot").read(r.out, 0, 100), "the result\n");
+  EXPECT_EQ(rig.logged("begin"), 1);
+}
+
+// A task that has its result is done without running, on any machine and in any attempt.
+TEST(AgentProcess, ATaskThatHasItsResultIsNotRunAgain) {
+  Rig rig;
+  std::string id = rig.add("true");
+  rig.start();
+  ASSERT_TRUE(rig.until_done(id));
+  rig.tasks[id] = {};
+  rig.tasks[id].attempt = 9;
+  ASSERT_TRUE(rig.until_done(id));
+  EXPECT_EQ(rig.logged("begin"), 1);
+}
+
+// As a full disk does, a limit makes every write of the record fail for a while.
+TEST(AgentProcess, AFullDiskTakesNoTaskAndLosesNone) {
+  Rig rig;
+  std::string first =
+      rig.add("until [ -e " + (rig.dir / "go").string() + " ]; do sleep 0.05; done");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  ASSERT_TRUE(rig.until([&] { return rig.last.tasks.size() == 1; }));
+  rlimit none{0, RLIM_INFINITY}, all{RLIM_INFINITY, RLIM_INFINITY};
+  ASSERT_EQ(::prlimit(rig.pid, RLIMIT_FSIZE, &none, nullptr), 0);
+  std::string second = rig.add("true");
+  std::ofstream(rig.dir / "go");
+  ASSERT_TRUE(rig.until_logged("end"));
+  int before = rig.reports;
+  ASSERT_TRUE(rig.until([&] { return rig.reports > before + 5; }));  // it still reports
+  EXPECT_EQ(rig.tasks[first].done, 0);
+  EXPECT_EQ(rig.logged("begin"), 1);
+  ASSERT_EQ(::prlimit(rig.pid, RLIMIT_FSIZE, &all, nullptr), 0);
+  ASSERT_TRUE(rig.until_done(first)) << slurp(rig.dir / "agent.log");
+  ASSERT_TRUE(rig.until_done(second));
+  EXPECT_EQ(rig.logged("begin"), 2);
+  EXPECT_NE(slurp(rig.dir / "agent.log").find("record can be written again"), std::string::npos);
+}
+
+TEST(AgentProcess, ATaskThatFillsItsOutputEndsAndTheNextOneRuns) {
+  Rig rig(60, "<file-mb>1</file-mb>");
+  std::string loud = rig.add("yes"), quiet = rig.add("true");
+  rig.start();
+  ASSERT_TRUE(rig.until_done(loud));
+  ASSERT_TRUE(rig.until_done(quiet));
+  auto r = far::decode_result(
+      depot::Store(rig.dir / "depot").get_name(far::result_name({loud, 0}))->value);
+  EXPECT_NE(r.exit, 0);
+}
+
+TEST(AgentProcess, ImagesAreFetchedOnceAndBadOnesRefused) {
+  Rig rig;
+  fs::create_directories(rig.dir / "image");
+  std::ofstream(rig.dir / "image" / "words") << "from the image\n";
+  depot::Packer p(rig.dir / "image", rig.dir / "image.tar");
+  while (!p.step()) {
+  }
+  depot::Store store(rig.dir / "depot");
+  auto put = [&](const std::string& bytes, const char* upload) {
+    std::string hash = depot::hash_of(bytes);
+    store.add_part(upload, 0, bytes);
+    EXPECT_TRUE(store.finish(upload, hash));
+    return hash;
+  };
+  std::string hash = put(slurp(rig.dir / "image.tar"), "aaaaaaaa");
+  std::string torn = put("these bytes are no archive, whatever their hash may be", "bbbbbbbb");
+  std::string damaged = put("something", "cccccccc");
+  std::ofstream(rig.dir / "depot" / "blobs" / damaged.substr(0, 2) / damaged) << "something else";
+  std::string a = rig.add("cat $SHUNT_IMAGE_DIR/words >> " + rig.log().string(), 0, hash);
+  std::string b = rig.add("cat $SHUNT_IMAGE_DIR/words >> " + rig.log().string(), 0, hash);
+  std::string c = rig.add("true", 0, torn), d = rig.add("true", 0, damaged);
+  rig.start();
+  ASSERT_TRUE(rig.until_done(a));
+  ASSERT_TRUE(rig.until_done(b));
+  ASSERT_TRUE(rig.until([&] { return rig.tasks[c].failed > 0 && rig.tasks[d].failed > 0; }));
+  EXPECT_EQ(rig.logged("from the image"), 2);
+  EXPECT_EQ(rig.logged("begin"), 2);
+  rig.tasks[c].wanted = rig.tasks[d].wanted = false;
+}
+
+TEST(AgentProcess, DirectOrdersByTokenAndSessionAndGarbageByItself) {
+  Rig rig;
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.reports > 1; }));
+  EXPECT_EQ(rig.order("not json").status, 400);
+  EXPECT_EQ(rig.order(R"({"orders":[]})").status, 400);
+  EXPECT_EQ(rig.order(R"({"staff":4,"shift":1,"orders":[]})").status, 409);
+  EXPECT_EQ(rig.order(R"({"staff":5,"shift":2,"orders":[]})").status, 409);
+  EXPECT_EQ(rig.order(std::string(70000, ' ')).status, 413);
+  auto r = rig.order(R"({"staff":6,"shift":1,"orders":[{"order":"dance"},
+                         {"order":"start","car":"run-999999/0","departure":3}]})");
+  EXPECT_EQ(r.status, 200);
+  auto report = wire::decode_report(r.body);
+  EXPECT_EQ(report.token, 6u);
+  ASSERT_EQ(report.tasks.size(), 1u);
+  rig.tasks.clear();
+  // Nobody has described that job: refused as unknown, and the token of the answers is too low now.
+  ASSERT_TRUE(rig.until([&] {
+    auto s = rig.status();
+    return s.tasks.size() == 1 && s.tasks[0].why == wire::Why::unknown;
+  }));
+  std::uint64_t seq = rig.status().seq;
+  EXPECT_GT(rig.status().seq, seq);
+  rig.token = 7;
+  std::ofstream(rig.dir / "m" / "recall") << "12";
+  ASSERT_TRUE(rig.until([&] { return rig.last.notice_s && *rig.last.notice_s <= 12; }));
+}
+
+// An agent that is replaced leaves its tasks alone; one that is ended takes them with it.
+TEST(AgentProcess, ReplacedItLeavesItsTasksAndEndedItDoesNot) {
+  Rig rig;
+  std::string id = rig.add("sleep 1000");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  ASSERT_TRUE(rig.until([&] { return rig.last.tasks.size() == 1; }));
+  rig.kill_agent(SIGTERM);
+  rig.start();
+  int before = rig.reports;
+  ASSERT_TRUE(rig.until([&] { return rig.reports > before + 1; }));
+  EXPECT_EQ(rig.last.session, 1u);
+  EXPECT_EQ(rig.tasks[id].attempt, 1u);
+  EXPECT_EQ(rig.logged("begin"), 1);
+  rig.kill_agent(SIGTERM);
+  EXPECT_TRUE(agent::end_all({rig.dir / "m"}));
+  EXPECT_TRUE(rig.nothing_left_of(id));
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.last.session == 2; }));
+}
+
+}  // namespace
+}  // namespace shunt::test
--- /dev/null
+++ b/tests/agent_rig.h
@@ -0,0 +1,238 @@
+// Real agents on loopback, with a depot and a controller's stand-in in the test's own loop.
+#pragma once
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "agent/agent.h"
+#include "depot/server.h"
+#include "far/description.h"
+#include "far/far.h"
+#include "net/http.h"
+
+namespace shunt::test {
+namespace fs = std::filesystem;
+
+inline config::Endpoint free_endpoint() {
+  int s = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t n = sizeof a;
+  if (::bind(s, reinterpret_cast<sockaddr*>(&a), n) != 0) std::abort();
+  ::getsockname(s, reinterpret_cast<sockaddr*>(&a), &n);
+  ::close(s);
+  return {"127.0.0.1", ntohs(a.sin_port)};
+}
+
+inline std::string slurp(const fs::path& p) {
+  std::ifstream in(p, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+class Rig {
+ public:
+  struct Task {
+    std::uint64_t attempt = 0, session = 0;  // what was last asked for, and in which session
+    bool sent = false, wanted = true, cancelled = false;
+    int done = 0, failed = 0, lost = 0;  // final answers, other ends, ends with a session
+    std::string why;
+  };
+
+  explicit Rig(double lease_s = 60, const std::string& more = "") : lease_s_(lease_s), more_(more) {
+    std::string name = fs::temp_directory_path() / "shunt-rig-XXXXXX";
+    dir = ::mkdtemp(name.data());
+    open_depot();
+    open_controller();
+  }
+  ~Rig() {
+    kill_agent();
+    agent::end_all({dir / "m"});
+    controller_.reset();
+    depot_.reset();
+    fs::remove_all(dir);
+  }
+
+  // The agent, ending itself at a step if one is named.
+  void start(const std::string& kill_at = "") {
+    fs::create_directories(dir / "m");
+    std::ofstream(dir / "agent.xml")
+        << "<shunt-agent><machine>m-1</machine><type>t</type><zone>z</zone><address>127.0.0.1:"
+        << address.port << "</address><cpus>4</cpus><mem-gb>8</mem-gb><report-s>0.5</report-s>"
+        << "<lease-s>" << lease_s_ << "</lease-s><disk-reserve-mb>0</disk-reserve-mb>"
+        << "<memory-limit>false</memory-limit><controllers><controller name='n0' "
+           "address='127.0.0.1:"
+        << controller_at_.port << "'/></controllers><depot>127.0.0.1:" << depot_at_.port
+        << "</depot>" << more_ << "</shunt-agent>";
+    const std::string settings = dir / "agent.xml", home = dir / "m", log = dir / "agent.log";
+    pid = ::fork();
+    if (pid == 0) {
+      if (!kill_at.empty()) ::setenv("SHUNT_KILL_AT", kill_at.c_str(), 1);
+      int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      ::dup2(out, 2);
+      ::execl(SHUNT_AGENT, "shunt-agent", "--settings", settings.c_str(), "--dir", home.c_str(),
+              nullptr);
+      ::_exit(127);
+    }
+  }
+  bool agent_ended() {
+    if (pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == pid) pid = 0;
+    return pid == 0;
+  }
+  void kill_agent(int signal = SIGKILL) {
+    if (pid <= 0) return;
+    ::kill(pid, signal);
+    ::waitpid(pid, nullptr, 0);
+    pid = 0;
+  }
+
+  void open_depot() { depot_ = std::make_unique<depot::Server>(loop, depot_at_, dir / "depot"); }
+  void close_depot() { depot_.reset(); }
+  void open_controller() {
+    controller_ = std::make_unique<net::Server>(loop, controller_at_, 64 * 1024,
+                                                [this](net::ExchangePtr ex) { beat(ex); });
+  }
+  void close_controller() { controller_.reset(); }
+
+  // A job of one task that runs this script. Its begins and ends, and any time that it met another
+  // attempt of its own, stand in the log.
+  std::string add(const std::string& script, double save_every_s = 0,
+                  const std::string& image = "") {
+    far::Description d;
+    std::string id = "run-" + std::to_string(100001 + jobs_++);
+    d.job.id = id;
+    d.job.cls = "c";
+    d.job.team = "t";
+    d.job.image = "none";
+    d.job.cpus = 1;
+    d.job.mem_gb = 1;
+    d.job.checkpoint_s = save_every_s;
+    d.job.save_s = save_every_s > 0 ? 1 : 0;
+    d.image = image;
+    d.command = {"bash", "-c",
+                 "exec 9>" + (dir / "lock").string() +
+                     ".$SHUNT_JOB; flock -n 9 || echo overlap >> " + log().string() +
+                     "; echo begin $SHUNT_JOB $SHUNT_ATTEMPT >> " + log().string() + "; " + script +
+                     "; e=$?; echo end $SHUNT_JOB $SHUNT_ATTEMPT >> " + log().string() +
+                     "; exit $e"};
+    depot::Store(dir / "depot").put_name(far::description_name(id), {far::encode_description(d)});
+    tasks[id].attempt = 1;
+    return id;
+  }
+  fs::path log() const { return dir / "log"; }
+  int logged(const std::string& word) const {
+    std::istringstream in(slurp(log()));
+    int n = 0;
+    for (std::string line; std::getline(in, line);) n += line.starts_with(word);
+    return n;
+  }
+
+  // Every process of a task holds its lock, whatever it has forked and however far it has gone.
+  bool nothing_left_of(const std::string& id) const {
+    return agent::try_lock(dir / ("lock." + id)).has_value();
+  }
+
+  // Turns the loop until it is so. The limit is generous: nothing is said about time.
+  bool until(const std::function<bool()>& over, double seconds = 60) {
+    double end = actor::Loop::now() + seconds;
+    while (!over()) {
+      if (actor::Loop::now() > end) return false;
+      event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+      ::usleep(1000);
+    }
+    return true;
+  }
+  bool until_done(const std::string& id) {
+    return until([&] { return tasks[id].done > 0; });
+  }
+  bool until_logged(const std::string& word, int n = 1) {
+    return until([&] { return logged(word) >= n; });
+  }
+  // An order straight to the worker: its status and body.
+  net::Result order(const std::string& body, const char* path = "/orders") {
+    net::Client client(loop, address, 1, 1);
+    net::Result out;
+    bool over = false;
+    client.request(body.empty() ? "GET" : "POST", path, body, 10, [&](net::Result r) {
+      out = std::move(r);
+      over = true;
+    });
+    until([&] { return over; });
+    return out;
+  }
+  wire::Report status() { return wire::decode_report(order("", "/status").body); }
+
+  actor::Loop loop;
+  fs::path dir;
+  config::Endpoint address = free_endpoint();
+  pid_t pid = 0;
+  std::uint64_t token = 5;
+  std::map<std::string, Task> tasks;
+  wire::Report last;
+  int reports = 0;
+  double grace_s = 20;
+
+ private:
+  // A controller in a few lines: what is wanted is started until it is seen, what has exited is
+  // reaped, and what did not get done is tried once more.
+  void beat(net::ExchangePtr ex) {
+    last = wire::decode_report(ex->body);
+    ++reports;
+    std::vector<wire::Command> commands;
+    std::map<std::string, wire::TaskReport> there;
+    for (const auto& t : last.tasks) {
+      if (t.state == wire::RunState::exited)
+        commands.push_back({wire::Command::Op::forget, t.task, t.attempt, 0});
+      Task& w = tasks[t.task.job];
+      if (t.attempt == w.attempt && w.sent) there[t.task.job] = t;
+    }
+    for (auto& [id, w] : tasks) {
+      if (w.sent && last.session > w.session) {
+        ++w.lost;
+        ++w.attempt;
+        w.sent = false;
+      }
+      auto it = there.find(id);
+      if (it != there.end() && it->second.state == wire::RunState::exited) {
+        w.why = std::to_string(static_cast<int>(it->second.why)) + (it->second.kept ? "kept" : "");
+        if (it->second.why == wire::Why::done) {
+          ++w.done;
+          w.wanted = false;
+        } else {
+          ++w.failed;
+          ++w.attempt;
+        }
+        w.sent = false;
+      } else if (it != there.end() && w.cancelled) {
+        commands.push_back({wire::Command::Op::stop, {id, 0}, w.attempt, grace_s});
+      } else if (it == there.end() && w.wanted && !w.cancelled) {
+        commands.push_back({wire::Command::Op::start, {id, 0}, w.attempt, 0});
+        w.sent = true;
+        w.session = last.session;
+      }
+    }
+    ex->send({200, wire::encode_orders(token, commands), 0});
+  }
+
+  double lease_s_;
+  std::string more_;
+  int jobs_ = 0;
+  config::Endpoint depot_at_ = free_endpoint(), controller_at_ = free_endpoint();
+  std::unique_ptr<depot::Server> depot_;
+  std::unique_ptr<net::Server> controller_;
+};
+
+}  // namespace shunt::test
--- /dev/null
+++ b/tests/local_test.cpp
@@ -0,0 +1,183 @@
+// The whole set as processes on loopback, from a command line's point of view; and the checker that
+// judges what its tasks have written, shown a history with each fault.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "checker/attempts.h"
+#include "checker/trial.h"
+#include "local/settings.h"
+
+namespace shunt::test {
+namespace {
+namespace fs = std::filesystem;
+
+struct Set {
+  fs::path dir;
+  pid_t pid = 0;
+  std::string url;
+  Set() {
+    std::string name = fs::temp_directory_path() / "shunt-set-XXXXXX";
+    dir = ::mkdtemp(name.data());
+  }
+  ~Set() {
+    end();
+    fs::remove_all(dir);
+  }
+  void start() {
+    const std::string home = dir / "set",
+                      settings = std::string(SHUNT_SOURCE) + "/deploy/local.xml", log = dir / "log";
+    int out[2];
+    ASSERT_EQ(::pipe(out), 0);
+    pid = ::fork();
+    if (pid == 0) {
+      ::dup2(out[1], 1);
+      int err = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      ::dup2(err, 2);
+      ::close(out[0]);
+      ::close(out[1]);
+      ::execl(SHUNT_LOCAL, "shunt-local", "--dir", home.c_str(), "--settings", settings.c_str(),
+              nullptr);
+      ::_exit(127);
+    }
+    ::close(out[1]);
+    std::string line;
+    for (char c; ::read(out[0], &c, 1) == 1 && c != '\n';) line += c;
+    ::close(out[0]);
+    ASSERT_TRUE(line.starts_with("ready http://127.0.0.1:")) << line;
+    url = line.substr(6);
+  }
+  int end() {
+    if (pid <= 0) return 0;
+    int status = 0;
+    ::kill(pid, SIGTERM);
+    ::waitpid(pid, &status, 0);
+    pid = 0;
+    return status;
+  }
+  // shuntctl with these words: its exit status and what it printed.
+  std::pair<int, std::string> ctl(const std::string& words) const {
+    const std::string command = std::string(SHUNT_CTL) + " --server " + url + " " + words + " 2>>" +
+                                (dir / "ctl.err").string();
+    FILE* f = ::popen(command.c_str(), "r");
+    std::string out;
+    char b[4096];
+    for (std::size_t n; (n = ::fread(b, 1, sizeof b, f)) > 0;) out.append(b, n);
+    int status = ::pclose(f);
+    while (!out.empty() && out.back() == '\n') out.pop_back();
+    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, out};
+  }
+  // Processes whose command line names this directory.
+  int processes() const {
+    int n = 0;
+    for (const auto& e : fs::directory_iterator("/proc")) {
+      std::ifstream in(e.path() / "cmdline", std::ios::binary);
+      std::ostringstream text;
+      text << in.rdbuf();
+      n += text.str().find((dir / "set").string()) != std::string::npos;
+    }
+    return n;
+  }
+};
+
+TEST(LocalSet, RunsCommandsShowsTheirOutputAndGoesOnAfterItsEnd) {
+  Set set;
+  set.start();
+  auto [code, id] =
+      set.ctl("submit --tasks 2 --wait -- sh -c 'echo out of $SHUNT_TASK; echo e >&2'");
+  EXPECT_EQ(code, 0);
+  EXPECT_EQ(set.ctl("output " + id + " --task 1").second, "out of 1");
+  EXPECT_EQ(set.ctl("output " + id + " --task 1 --err").second, "e");
+  EXPECT_EQ(set.ctl("output " + id + " --task 2").first, 1);
+  EXPECT_EQ(set.ctl("status --json " + id).second,
+            R"({"done":2,"id":")" + id + R"(","running":0,"state":"done"})");
+  EXPECT_EQ(set.ctl("submit --wait -- sh -c 'exit 7'").first, 7);
+  auto running = set.ctl("submit -- sleep 1000").second;
+  auto next = set.ctl("submit --awaits " + id + " -- echo after").second;
+  EXPECT_EQ(set.ctl("wait " + next).first, 0);
+  EXPECT_EQ(set.ctl("withdraw " + running).first, 0);
+  EXPECT_EQ(set.ctl("wait " + running).first, 1);
+  EXPECT_EQ(set.ctl("status run-123456789").first, 1);
+  EXPECT_EQ(set.ctl("status nonsense").first, 2);
+  EXPECT_EQ(set.ctl("submit --team nobody -- true").first, 1);
+  EXPECT_EQ(set.ctl("submit --priority soon -- true").first, 2);
+  EXPECT_EQ(set.ctl("submit").first, 2);
+  auto waits = set.ctl("submit --vcpus 2 -- sh -c 'sleep 2; echo survived'").second;
+  EXPECT_EQ(set.end(), 0);
+  EXPECT_EQ(set.processes(), 0);
+  set.start();
+  EXPECT_EQ(set.ctl("status " + id).first, 0);
+  EXPECT_EQ(set.ctl("wait " + waits).first, 0);
+  EXPECT_EQ(set.ctl("output " + waits).second, "survived");
+  EXPECT_EQ(set.end(), 0);
+  EXPECT_EQ(set.processes(), 0);
+}
+
+// A shorter run of the trial of docs/results.md.
+TEST(LocalSet, KillsAtRandomLeaveEachTaskOneAnswer) {
+  std::string name = fs::temp_directory_path() / "shunt-trial-XXXXXX";
+  checker::Plan p;
+  p.dir = ::mkdtemp(name.data());
+  p.programs = fs::path(SHUNT_LOCAL).parent_path();
+  p.tasks = 80;
+  p.machines = 4;
+  p.limit_s = 300;
+  p.seed = 20;
+  checker::Outcome o = checker::run(p);
+  EXPECT_TRUE(o.faults.empty()) << checker::to_json(o);
+  EXPECT_GE(o.ends, 80u);
+  fs::remove_all(p.dir);
+}
+
+TEST(Checker, FindsEachFault) {
+  auto faults = [](const std::string& log, std::vector<std::uint64_t> answers) {
+    checker::Attempts a;
+    std::istringstream in(log);
+    a.read(in);
+    for (auto n : answers) a.answered("run-1", 0, n);
+    std::string all;
+    for (const auto& f : a.faults({{"run-1", 1}})) all += f + "\n";
+    return all;
+  };
+  const std::string good = "begin run-1 0 5 1.5\nend run-1 0 5 2.5\n";
+  EXPECT_EQ(faults(good, {5}), "");
+  EXPECT_EQ(faults("begin run-1 0 4 1\n" + good, {5}), "");  // killed, and tried once more
+  EXPECT_NE(faults(good, {}).find("no final answer"), std::string::npos);
+  EXPECT_NE(faults(good, {5, 5}).find("2 final answers"), std::string::npos);
+  EXPECT_NE(faults(good, {6}).find("never ended"), std::string::npos);
+  EXPECT_NE(faults(good + "overlap run-1 0 6 3\n", {5}).find("beside"), std::string::npos);
+  EXPECT_NE(faults(good + "begin run-1 0 5 3\n", {5}).find("twice"), std::string::npos);
+  EXPECT_NE(faults(good + "begin run-2 0 5 3\n", {5}).find("nobody"), std::string::npos);
+  EXPECT_NE(faults(good + "begin run-1 0\n", {5}).find("torn"), std::string::npos);
+}
+
+TEST(LocalSettings, TheShippedFileIsGoodAndABadOneNamesThePlace) {
+  std::ifstream in(std::string(SHUNT_SOURCE) + "/deploy/local.xml");
+  std::ostringstream text;
+  text << in.rdbuf();
+  auto s = local::parse_settings(text.str());
+  EXPECT_EQ(s.controllers, 3);
+  auto fails = [&](const std::string& from, const std::string& to, const std::string& names) {
+    std::string bad = text.str();
+    bad.replace(bad.find(from), from.size(), to);
+    try {
+      local::parse_settings(bad);
+      ADD_FAILURE() << to;
+    } catch (const config::BadSettings& e) {
+      EXPECT_NE(std::string(e.what()).find(names), std::string::npos) << e.what();
+    }
+  };
+  fails("<lease-s>6", "<lease-s>60", "shunt-local.cancel-s");
+  fails("cpus-max=\"32\"", "cpus-max=\"many\"", "team@cpus-max");
+  fails("<zones>", "<rooms/><zones>", "shunt-local.rooms");
+  fails("</shunt-local>", "</shunt>", "line");
+}
+
+}  // namespace
+}  // namespace shunt::test
