--- a/tests/agent_process_test.cpp
+++ b/tests/agent_process_test.cpp
@@ -88,6 +88,34 @@
   EXPECT_EQ(rig.logged("overlap"), 0);
 }
 
+// Guard: the next session was begun while a task of the last one was still there, because the lease
+// was over on paper and its shepherd stood still.
+TEST(AgentProcess, ASessionBeginsOnlyWhenTheLastOnesTasksAreGone) {
+  Rig rig(3);
+  std::string id = rig.add("sleep 1000");
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  ASSERT_TRUE(rig.until([&] { return rig.last.tasks.size() == 1; }));
+  auto j = nlohmann::json::parse(slurp(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  ::kill(j["pid"].get<pid_t>(), SIGSTOP);
+  rig.kill_agent();
+  double until = agent::LeasePage(rig.dir / "m" / "lease", agent::LeasePage::Open::read).until();
+  ASSERT_TRUE(rig.until([&] { return agent::boot_now() > until; }));
+  EXPECT_FALSE(rig.nothing_left_of(id));
+  rig.tasks[id].wanted = false;
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.last.session == 2; }));
+  EXPECT_TRUE(rig.nothing_left_of(id));
+}
+
+TEST(AgentProcess, ADirectoryThatCannotBeHadIsSaidAtOnce) {
+  Rig rig;
+  std::ofstream(rig.dir / "m") << "a file";
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.agent_ended(); }));
+  EXPECT_NE(slurp(rig.dir / "agent.log").find("agent cannot go on"), std::string::npos);
+}
+
 // A shepherd that is killed takes the task with it, and the agent ends what the task had put into
 // sessions of its own.
 TEST(AgentProcess, AShepherdIsKilledAndNothingOfItsTaskStays) {
--- a/tests/agent_rig.h
+++ b/tests/agent_rig.h
@@ -68,7 +68,6 @@
 
   // The agent, ending itself at a step if one is named.
   void start(const std::string& kill_at = "") {
-    fs::create_directories(dir / "m");
     std::ofstream(dir / "agent.xml")
         << "<shunt-agent><machine>m-1</machine><type>t</type><zone>z</zone><address>127.0.0.1:"
         << address.port << "</address><cpus>4</cpus><mem-gb>8</mem-gb><report-s>0.5</report-s>"
