--- a/src/agent/procs.cpp
+++ b/src/agent/procs.cpp
@@ -13,6 +13,8 @@
 #include <system_error>
 #include <utility>
 
+#include "depot/store.h"
+
 namespace shunt::agent {
 namespace fs = std::filesystem;
 
@@ -41,20 +43,13 @@
 int Fd::release() { return std::exchange(fd_, -1); }
 
 namespace {
-std::string slurp(const fs::path& p) {
-  std::ifstream in(p, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 struct Stat {
   std::string state;
   pid_t parent = 0;
   std::uint64_t start = 0;
 };
 std::optional<Stat> stat_of(pid_t pid) {
-  std::string s = slurp("/proc/" + std::to_string(pid) + "/stat");
+  std::string s = depot::read_whole("/proc/" + std::to_string(pid) + "/stat");
   auto close = s.rfind(')');  // the name before it may hold anything
   if (close == std::string::npos) return std::nullopt;
   std::istringstream in(s.substr(close + 2));
@@ -107,7 +102,7 @@
       if (pid == self) return;
       Fd handle(static_cast<int>(::syscall(SYS_pidfd_open, pid, 0)));
       if (!handle) return;
-      std::string env = slurp("/proc/" + std::to_string(pid) + "/environ");
+      std::string env = depot::read_whole("/proc/" + std::to_string(pid) + "/environ");
       bool mine = false;
       for (std::size_t at = 0; at < env.size() && !mine;) {
         std::string_view v(env.c_str() + at);
--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -13,11 +13,6 @@
   auto text = [](std::string& to) {
     return [&to](pugi::xml_node n, const std::string& at) { to = xml_text(n, at); };
   };
-  auto number = [](double& to, double least, double most) {
-    return [&to, least, most](pugi::xml_node n, const std::string& at) {
-      to = xml_number(n.child_value(), at, least, most);
-    };
-  };
   auto flag = [](bool& to) {
     return [&to](pugi::xml_node n, const std::string& at) { to = xml_flag(n.child_value(), at); };
   };
@@ -32,11 +27,11 @@
                  {"zone", text(s.zone)},
                  {"address", endpoint(s.address)},
                  {"spot", flag(s.spot)},
-                 {"cpus", number(s.room.cpus, 0, 1e6)},
-                 {"gpus", number(s.room.gpus, 0, 1e6)},
-                 {"mem-gb", number(s.room.mem_gb, 0, 1e6)},
-                 {"report-s", number(s.report_s, 0.1, 3600)},
-                 {"lease-s", number(s.lease_s, 1, 86400)},
+                 {"cpus", xml_into(s.room.cpus, 0, 1e6)},
+                 {"gpus", xml_into(s.room.gpus, 0, 1e6)},
+                 {"mem-gb", xml_into(s.room.mem_gb, 0, 1e6)},
+                 {"report-s", xml_into(s.report_s, 0.1, 3600)},
+                 {"lease-s", xml_into(s.lease_s, 1, 86400)},
                  {"controllers",
                   [&](pugi::xml_node n, const std::string& at) {
                     read_children(
@@ -47,10 +42,10 @@
                                  }}});
                   }},
                  {"depot", endpoint(s.depot)},
-                 {"cache-gb", number(s.cache_gb, 0, 1e6)},
-                 {"disk-reserve-mb", number(s.disk_reserve_mb, 0, 1e9)},
-                 {"file-mb", number(s.file_mb, 0, 1e9)},
-                 {"recall-s", number(s.recall_s, 0, 86400)},
+                 {"cache-gb", xml_into(s.cache_gb, 0, 1e6)},
+                 {"disk-reserve-mb", xml_into(s.disk_reserve_mb, 0, 1e9)},
+                 {"file-mb", xml_into(s.file_mb, 0, 1e9)},
+                 {"recall-s", xml_into(s.recall_s, 0, 86400)},
                  {"memory-limit", flag(s.memory_limit)}},
                 {"machine", "type", "zone", "address", "cpus", "mem-gb", "controllers", "depot"});
   if (s.controllers.empty()) bad_at("shunt-agent.controllers", "names none");
--- a/src/agent/shepherd.cpp
+++ b/src/agent/shepherd.cpp
@@ -93,20 +93,13 @@
 constexpr int kNotForIt[] = {SIGINT, SIGHUP, SIGTERM, SIGPIPE, SIGXFSZ};
 constexpr int kLimitExit = 124;  // as timeout(1) has it
 
-std::string slurp(const fs::path& p) {
-  std::ifstream in(p, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 class Shepherd {
  public:
   Shepherd(fs::path dir, const fs::path& page)
       : dir_(std::move(dir)), page_(page, LeasePage::Open::read) {}
 
   int run() {
-    order_ = decode_order(slurp(dir_ / "order.json"));
+    order_ = decode_order(depot::read_whole(dir_ / "order.json"));
     ::prctl(PR_SET_CHILD_SUBREAPER, 1);
     sigset_t set;
     sigemptyset(&set);
@@ -262,7 +255,7 @@
   }
 
   void look_at_stop() {
-    std::string text = slurp(dir_ / "stop.json");
+    std::string text = depot::read_whole(dir_ / "stop.json");
     if (text.empty() || end_) return;
     Stop s;
     try {
--- a/src/agent/tasks.cpp
+++ b/src/agent/tasks.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "agent/agent.h"
+#include "depot/store.h"
 #include "log/log.h"
 
 extern char** environ;
@@ -19,19 +20,12 @@
 namespace fs = std::filesystem;
 namespace {
 
-std::string slurp(const fs::path& p) {
-  std::ifstream in(p, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 nlohmann::json about(const Key& k) {
   return {{"task", k.job + "/" + std::to_string(k.index)}, {"attempt", k.attempt}};
 }
 
 Identity read_identity(const fs::path& file) {
-  auto j = nlohmann::json::parse(slurp(file), nullptr, false);
+  auto j = nlohmann::json::parse(depot::read_whole(file), nullptr, false);
   if (!j.is_object()) return {};
   return {j.value("pid", 0), j.value("start", std::uint64_t{0}), j.value("boot", "")};
 }
@@ -285,8 +279,8 @@
   o.retry_exits = d.retry_exits;
   o.limit_s = d.limit_s;
   o.file_bytes = static_cast<std::uint64_t>(settings_.file_mb * 1e6);
-  o.memory_bytes =
-      settings_.memory_limit ? static_cast<std::uint64_t>(d.job.mem_gb * 1e9) : std::uint64_t{0};
+  o.memory_bytes = settings_.memory_limit ? static_cast<std::uint64_t>(d.job.mem_gb * 1073741824)
+                                          : std::uint64_t{0};
   for (const char* name : {"PATH", "HOME", "LANG", "LC_ALL", "TZ", "TMPDIR"})
     if (const char* v = std::getenv(name)) o.env[name] = v;
   for (const auto& [name, v] : d.env) o.env[name] = v;
@@ -355,7 +349,7 @@
   if (!l.process) return later(l, 0.2);  // it has not written down who it is yet, or is just going
   attach(k, l);
   try {
-    Order o = decode_order(slurp(dir / "order.json"));
+    Order o = decode_order(depot::read_whole(dir / "order.json"));
     if (auto image = o.env.find("SHUNT_IMAGE_DIR"); image != o.env.end())
       l.description.image = fs::path(image->second).filename();
   } catch (const wire::Malformed&) {
@@ -401,7 +395,7 @@
   const fs::path dir = places_.task(k);
   End end;
   try {
-    end = decode_end(slurp(dir / "end.json"));
+    end = decode_end(depot::read_whole(dir / "end.json"));
   } catch (const wire::Malformed&) {
     // Killed: the task went with it, but what it had started elsewhere may not have.
     end = {wire::Why::error, 0, "its shepherd was lost"};
@@ -432,7 +426,7 @@
 // What has ended is put into the depot before it is reported.
 void Agent::store(const Key& k, Live& l) {
   const fs::path dir = places_.task(k);
-  if (!l.end) l.end = decode_end(slurp(dir / "end.json"));
+  if (!l.end) l.end = decode_end(depot::read_whole(dir / "end.json"));
   if (l.end->why != wire::Why::done) {
     double now = boot_now();
     if (!l.give_up_at) l.give_up_at = now + settings_.lease_s / 2;
--- a/src/checker/trial.cpp
+++ b/src/checker/trial.cpp
@@ -15,33 +15,27 @@
 #include "agent/procs.h"
 #include "checker/attempts.h"
 #include "ctl/service.h"
+#include "depot/store.h"
 
 namespace shunt::checker {
 namespace fs = std::filesystem;
 namespace {
 
-std::string slurp(const fs::path& p) {
-  std::ifstream in(p, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 std::string command_of(pid_t pid) {
-  std::string s = slurp("/proc/" + std::to_string(pid) + "/cmdline");
+  std::string s = depot::read_whole("/proc/" + std::to_string(pid) + "/cmdline");
   std::replace(s.begin(), s.end(), '\0', ' ');
   return s;
 }
 
 double resident_mb(pid_t pid) {
-  std::istringstream in(slurp("/proc/" + std::to_string(pid) + "/statm"));
+  std::istringstream in(depot::read_whole("/proc/" + std::to_string(pid) + "/statm"));
   double pages = 0, resident = 0;
   in >> pages >> resident;
   return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
 double cpu_s(pid_t pid) {
-  std::string s = slurp("/proc/" + std::to_string(pid) + "/stat");
+  std::string s = depot::read_whole("/proc/" + std::to_string(pid) + "/stat");
   auto close = s.rfind(')');
   if (close == std::string::npos) return 0;
   std::istringstream in(s.substr(close + 2));
@@ -106,7 +100,8 @@
     std::error_code gone;
     for (const auto& m : fs::directory_iterator(plan_.dir / "set" / "machines", gone))
       for (const auto& t : fs::directory_iterator(m.path() / "tasks", gone)) {
-        auto j = nlohmann::json::parse(slurp(t.path() / "shepherd.json"), nullptr, false);
+        auto j =
+            nlohmann::json::parse(depot::read_whole(t.path() / "shepherd.json"), nullptr, false);
         if (!j.is_object() || fs::exists(t.path() / "end.json", gone)) continue;
         agent::Identity id{j.value("pid", 0), j.value("start", std::uint64_t{0}),
                            j.value("boot", "")};
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -166,11 +166,6 @@
 
 Tuning parse_tuning(const std::string& input) {
   Tuning t;
-  auto number = [](double& to, double least, double most) {
-    return [&to, least, most](pugi::xml_node n, const std::string& at) {
-      to = xml_number(n.child_value(), at, least, most);
-    };
-  };
   auto count = [](int& to, int least, int most) {
     return [&to, least, most](pugi::xml_node n, const std::string& at) {
       double v = xml_number(n.child_value(), at, least, most);
@@ -182,13 +177,13 @@
   read_children(load_xml(doc, input, "shunttrail"), "tuning",
                 {{"waiting-bar", count(t.waiting_bar, 0, 10000)},
                  {"ring", count(t.ring, 1, 1000)},
-                 {"lambda", number(t.lambda, 1.0001, 100)},
-                 {"idle-start-s", number(t.idle_start_s, 0.001, 86400)},
-                 {"idle-cap", number(t.idle_cap, 1, 10000)},
-                 {"wait-weight", number(t.wait_weight, 0, 1e6)},
-                 {"late-weight", number(t.late_weight, 0, 1e9)},
-                 {"hold-s", number(t.hold_s, 1, 600)},
-                 {"reply-hold-s", number(t.reply_hold_s, 0, 3)}});
+                 {"lambda", xml_into(t.lambda, 1.0001, 100)},
+                 {"idle-start-s", xml_into(t.idle_start_s, 0.001, 86400)},
+                 {"idle-cap", xml_into(t.idle_cap, 1, 10000)},
+                 {"wait-weight", xml_into(t.wait_weight, 0, 1e6)},
+                 {"late-weight", xml_into(t.late_weight, 0, 1e9)},
+                 {"hold-s", xml_into(t.hold_s, 1, 600)},
+                 {"reply-hold-s", xml_into(t.reply_hold_s, 0, 3)}});
   return t;
 }
 
--- a/src/config/xml.cpp
+++ b/src/config/xml.cpp
@@ -44,6 +44,12 @@
     bad_at(place, "is not a number in range");
   return v;
 }
+std::function<void(pugi::xml_node, const std::string&)> xml_into(double& to, double least,
+                                                                 double most) {
+  return [&to, least, most](pugi::xml_node n, const std::string& place) {
+    to = xml_number(n.child_value(), place, least, most);
+  };
+}
 bool xml_flag(const std::string& text, const std::string& place) {
   if (text != "true" && text != "false") bad_at(place, "is neither true nor false");
   return text == "true";
--- a/src/config/xml.h
+++ b/src/config/xml.h
@@ -23,6 +23,9 @@
                    const std::vector<std::string>& required = {});
 std::string xml_text(pugi::xml_node n, const std::string& place);
 double xml_number(const std::string& text, const std::string& place, double least, double most);
+// A reader that puts a number in this range into `to`.
+std::function<void(pugi::xml_node, const std::string&)> xml_into(double& to, double least,
+                                                                 double most);
 bool xml_flag(const std::string& text, const std::string& place);
 std::string xml_attribute(pugi::xml_node n, const std::string& place, const char* name);
 Endpoint parse_endpoint(const std::string& text, const std::string& place);
--- a/src/depot/store.cpp
+++ b/src/depot/store.cpp
@@ -47,13 +47,6 @@
   if (::fsync(d.get()) != 0) fail(p.string());
 }
 
-std::string slurp(const fs::path& p) {
-  std::ifstream in(p, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 bool valid_upload(std::string_view s) {
   return s.size() >= 8 && s.size() <= 64 &&
          s.find_first_not_of("0123456789abcdef") == std::string_view::npos;
@@ -114,6 +107,13 @@
   sync_dir(file.parent_path());
 }
 
+std::string read_whole(const fs::path& file) {
+  std::ifstream in(file, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
 std::string encode_named(const Store::Named& n) {
   return "{\"value\":" + n.value + ",\"version\":" + std::to_string(n.version) +
          ",\"part\":" + std::to_string(n.part) + "}";
@@ -231,7 +231,7 @@
 std::optional<Store::Named> Store::get_name(const std::string& name) const {
   fs::path p = name_path(name);
   if (!fs::exists(p)) return std::nullopt;
-  auto n = decode_named(slurp(p));
+  auto n = decode_named(read_whole(p));
   if (!n) throw std::runtime_error("the depot's name " + name + " is damaged");
   return n;
 }
--- a/src/depot/store.h
+++ b/src/depot/store.h
@@ -39,6 +39,8 @@
 bool valid_name(std::string_view s);
 // A file's bytes replaced whole: written aside, synced, renamed, and the directory synced.
 void write_whole(const std::filesystem::path& file, std::string_view bytes);
+// All of a file; empty if it cannot be read.
+std::string read_whole(const std::filesystem::path& file);
 
 class Store {
  public:
--- a/src/local/door.cpp
+++ b/src/local/door.cpp
@@ -122,17 +122,7 @@
         "Content-Length: 19\r\nConnection: close\r\n\r\n{\"error\":\"not now\"}";
     bufferevent_write(p.user.get(), later.data(), later.size());
     bufferevent_disable(p.user.get(), EV_READ);
-    bufferevent_setcb(
-        p.user.get(), nullptr,
-        [](bufferevent*, void* arg) {
-          auto* pass = static_cast<Pass*>(arg);
-          pass->door->close(pass->id);
-        },
-        [](bufferevent*, short, void* arg) {
-          auto* pass = static_cast<Pass*>(arg);
-          pass->door->close(pass->id);
-        },
-        &p);
+    close_when_written(p, p.user.get());
     return;
   }
   p.controller = c;
@@ -198,22 +188,26 @@
   Buffer& other = at_user ? p.behind : p.user;
   if (!at_user && p.connected && other) moved(p, false);
   if (!at_user && other && evbuffer_get_length(bufferevent_get_output(other.get())) > 0) {
-    bufferevent_setcb(
-        other.get(), nullptr,
-        [](bufferevent*, void* arg) {
-          auto* pass = static_cast<Pass*>(arg);
-          pass->door->close(pass->id);
-        },
-        [](bufferevent*, short, void* arg) {
-          auto* pass = static_cast<Pass*>(arg);
-          pass->door->close(pass->id);
-        },
-        &p);
+    close_when_written(p, other.get());
     return;
   }
   close(p.id);
 }
 
+void Door::close_when_written(Pass& p, bufferevent* to) {
+  bufferevent_setcb(
+      to, nullptr,
+      [](bufferevent*, void* arg) {
+        auto* pass = static_cast<Pass*>(arg);
+        pass->door->close(pass->id);
+      },
+      [](bufferevent*, short, void* arg) {
+        auto* pass = static_cast<Pass*>(arg);
+        pass->door->close(pass->id);
+      },
+      &p);
+}
+
 void Door::close(std::uint64_t id) {
   post([this, id] { passes_.erase(id); });
 }
--- a/src/local/door.h
+++ b/src/local/door.h
@@ -51,6 +51,7 @@
   void connect(Pass& p, const config::Endpoint& to);
   void moved(Pass& p, bool from_user);
   void event(Pass& p, bool at_user, short what);
+  void close_when_written(Pass& p, bufferevent* to);
   void close(std::uint64_t id);
   void probe();
   int choose() const;
--- a/src/local/settings.cpp
+++ b/src/local/settings.cpp
@@ -13,11 +13,6 @@
   pugi::xml_document doc;
   pugi::xml_node root = load_xml(doc, xml, "shunt-local");
   Settings s;
-  auto number = [](double& to, double least, double most) {
-    return [&to, least, most](pugi::xml_node n, const std::string& at) {
-      to = xml_number(n.child_value(), at, least, most);
-    };
-  };
   auto attribute = [](pugi::xml_node n, const std::string& at, const char* name, double fallback) {
     pugi::xml_attribute a = n.attribute(name);
     return a ? xml_number(a.value(), at + "@" + name, 0, 1e6) : fallback;
@@ -60,14 +55,14 @@
                                    s.types.push_back(std::move(c));
                                  }}});
         }},
-       {"report-s", number(s.report_s, 0.5, 3600)},
-       {"lease-s", number(s.lease_s, 2, 86400)},
-       {"cancel-s", number(s.cancel_s, 7, 86400)},
-       {"cloud-rps", number(s.cloud_rps, 1, 1e6)},
-       {"list-lag-s", number(s.list_lag_s, 0, 3600)},
-       {"disk-reserve-mb", number(s.disk_reserve_mb, 0, 1e9)},
-       {"file-mb", number(s.file_mb, 1, 1e9)},
-       {"cache-gb", number(s.cache_gb, 0, 1e6)}},
+       {"report-s", xml_into(s.report_s, 0.5, 3600)},
+       {"lease-s", xml_into(s.lease_s, 2, 86400)},
+       {"cancel-s", xml_into(s.cancel_s, 7, 86400)},
+       {"cloud-rps", xml_into(s.cloud_rps, 1, 1e6)},
+       {"list-lag-s", xml_into(s.list_lag_s, 0, 3600)},
+       {"disk-reserve-mb", xml_into(s.disk_reserve_mb, 0, 1e9)},
+       {"file-mb", xml_into(s.file_mb, 1, 1e9)},
+       {"cache-gb", xml_into(s.cache_gb, 0, 1e6)}},
       {"zones", "teams", "types"});
   if (s.zones.empty()) bad_at("shunt-local.zones", "names none");
   if (s.teams.empty()) bad_at("shunt-local.teams", "names none");
--- /dev/null
+++ b/src/pbs/script.h
@@ -0,0 +1,55 @@
+// The directives of a PBS job script, as qsub(1B) has them: the leading block of lines that begin
+// with the prefix, each holding options as on a command line. Pure: text in, directives or faults
+// out, and every fault of the script at once.
+#pragma once
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace shunt::pbs {
+
+// Where something stands: lines and columns from 1; line 0 is the command line, whose columns count
+// its words.
+struct Place {
+  std::size_t line = 0, column = 0;
+  friend bool operator==(const Place&, const Place&) = default;
+};
+
+struct Fault {
+  Place at;
+  std::string directive, reason;
+};
+
+// One option: its letter, what stands behind it (none for a flag), and where it stands.
+struct Directive {
+  char option = 0;
+  std::string value;
+  Place at;
+  std::size_t value_column = 0;  // where its value begins
+};
+
+// Accepted, and without effect here.
+struct Ignored {
+  Place at;
+  std::string directive, reason;
+};
+
+struct Script {
+  std::vector<Directive> directives;  // in order
+  std::vector<Ignored> ignored;
+  std::vector<Fault> faults;
+  std::string shell;  // what "#!" names; empty: none
+};
+
+inline constexpr std::size_t kScriptMost = 1 << 20;  // bytes
+inline constexpr std::size_t kDirectivesMost = 1000;
+
+// `prefix`: "#PBS", or what -C or PBS_DPREFIX says; empty: no line is a directive.
+Script read_script(std::string_view text, std::string_view prefix);
+// The words of a command line up to the script's name: its options, and how many words they were.
+Script read_arguments(const std::vector<std::string>& words, std::size_t& taken);
+// A directive as a line that reads back to it.
+std::string print(const Directive& d, std::string_view prefix);
+
+}  // namespace shunt::pbs
--- /dev/null
+++ b/src/pbs/values.h
@@ -0,0 +1,61 @@
+// The values of directives: times, sizes, resource lists, chunks and ranges, by the forms of
+// qsub(1B) and pbs_resources(7B). Each reader throws BadValue with the offset of what is wrong.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace shunt::pbs {
+
+struct BadValue : std::runtime_error {
+  BadValue(std::size_t at, const std::string& why) : std::runtime_error(why), offset(at) {}
+  std::size_t offset;  // into the value, from 0
+};
+
+// [[hours:]minutes:]seconds[.fraction], or a number of seconds.
+double read_seconds(std::string_view s);
+// An integer with b, kb, mb, gb, tb or pb, or w, kw ... (words of eight bytes); in units of 2^30
+// bytes.
+double read_size_gb(std::string_view s);
+std::uint64_t read_count(std::string_view s, std::uint64_t most);
+
+// The parts between commas, each with its offset.
+std::vector<std::pair<std::size_t, std::string_view>> parts(std::string_view s, char separator);
+
+struct Resource {
+  std::string name, value;
+  std::size_t at = 0, value_at = 0;  // offsets
+};
+// name[=value], parted by commas.
+std::vector<Resource> read_resources(std::string_view s);
+
+struct Chunk {
+  std::uint64_t count = 1;
+  std::vector<Resource> resources;
+  std::size_t at = 0;
+};
+// [N:]res=value[:res=value...][+...]
+std::vector<Chunk> read_select(std::string_view s);
+// The older form: N[:ppn=M][:property...][+...]
+std::vector<Chunk> read_nodes(std::string_view s);
+
+struct Range {
+  std::uint64_t first = 0, last = 0, step = 1;
+  std::uint64_t limit = 0;  // %N: how many at a time; 0: not given
+  std::uint64_t size() const { return (last - first) / step + 1; }
+};
+Range read_range(std::string_view s);
+
+// type:id[:id...], parted by commas.
+struct Dependency {
+  std::string type;
+  std::vector<std::string> ids;
+  std::size_t at = 0;
+};
+std::vector<Dependency> read_dependencies(std::string_view s);
+
+}  // namespace shunt::pbs
--- a/tests/agent_process_test.cpp
+++ b/tests/agent_process_test.cpp
@@ -24,7 +24,7 @@
     }
     // Also what is reaped is on record: one more report after the end.
     return rig.tasks[id].done > 0 && killed && rig.last.tasks.empty();
-  })) << slurp(rig.dir / "agent.log");
+  })) << depot::read_whole(rig.dir / "agent.log");
   EXPECT_EQ(rig.tasks[id].done, 1);
   EXPECT_EQ(rig.tasks[id].lost, 0);
   EXPECT_EQ(rig.last.session, 1u);
@@ -96,7 +96,8 @@
   rig.start();
   ASSERT_TRUE(rig.until_logged("begin"));
   ASSERT_TRUE(rig.until([&] { return rig.last.tasks.size() == 1; }));
-  auto j = nlohmann::json::parse(slurp(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  auto j = nlohmann::json::parse(
+      depot::read_whole(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
   ::kill(j["pid"].get<pid_t>(), SIGSTOP);
   rig.kill_agent();
   double until = agent::LeasePage(rig.dir / "m" / "lease", agent::LeasePage::Open::read).until();
@@ -113,7 +114,7 @@
   std::ofstream(rig.dir / "m") << "a file";
   rig.start();
   ASSERT_TRUE(rig.until([&] { return rig.agent_ended(); }));
-  EXPECT_NE(slurp(rig.dir / "agent.log").find("agent cannot go on"), std::string::npos);
+  EXPECT_NE(depot::read_whole(rig.dir / "agent.log").find("agent cannot go on"), std::string::npos);
 }
 
 // A shepherd that is killed takes the task with it, and the agent ends what the task had put into
@@ -124,7 +125,8 @@
                            rig.log().string() + "; sleep 1000");
   rig.start();
   ASSERT_TRUE(rig.until_logged("forked"));
-  auto j = nlohmann::json::parse(slurp(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  auto j = nlohmann::json::parse(
+      depot::read_whole(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
   ::kill(j["pid"].get<pid_t>(), SIGKILL);
   ASSERT_TRUE(rig.until_done(id));
   EXPECT_EQ(rig.tasks[id].failed, 1);
@@ -154,7 +156,8 @@
   std::string id = rig.add("sleep 1000");
   rig.start();
   ASSERT_TRUE(rig.until_logged("begin"));
-  auto j = nlohmann::json::parse(slurp(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  auto j = nlohmann::json::parse(
+      depot::read_whole(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
   ::kill(j["pid"].get<pid_t>(), SIGSTOP);
   rig.tasks[id].cancelled = true;
   ASSERT_TRUE(rig.until([&] { return rig.tasks[id].failed == 1; }));
@@ -176,7 +179,7 @@
   ASSERT_TRUE(rig.until([&] { return rig.tasks[id].failed == 1; }));
   EXPECT_EQ(rig.tasks[id].why, std::to_string(static_cast<int>(wire::Why::stopped)) + "kept");
   rig.tasks[id].cancelled = false;
-  ASSERT_TRUE(rig.until_done(id)) << slurp(rig.dir / "agent.log");
+  ASSERT_TRUE(rig.until_done(id)) << depot::read_whole(rig.dir / "agent.log");
   EXPECT_EQ(rig.logged("from 0"), 1);
   EXPECT_EQ(rig.logged("from 7"), 1);
 }
@@ -196,14 +199,14 @@
   ASSERT_TRUE(rig.until([&] {
     auto n = depot::Store(rig.dir / "depot").get_name(far::save_name({id, 0}));
     return n && n->part == 2;
-  })) << slurp(rig.dir / "agent.log");
+  })) << depot::read_whole(rig.dir / "agent.log");
   rig.kill_agent();
   ASSERT_TRUE(agent::end_all({rig.dir / "m"}));  // as when its power fails
   fs::remove_all(rig.dir / "m");
   rig.tasks[id].attempt = 2;
   rig.tasks[id].sent = false;
   rig.start();
-  ASSERT_TRUE(rig.until_done(id)) << slurp(rig.dir / "agent.log");
+  ASSERT_TRUE(rig.until_done(id)) << depot::read_whole(rig.dir / "agent.log");
   EXPECT_EQ(rig.logged("from 2"), 1);
 }
 
@@ -260,10 +263,11 @@
   EXPECT_EQ(rig.tasks[first].done, 0);
   EXPECT_EQ(rig.logged("begin"), 1);
   ASSERT_EQ(::prlimit(rig.pid, RLIMIT_FSIZE, &all, nullptr), 0);
-  ASSERT_TRUE(rig.until_done(first)) << slurp(rig.dir / "agent.log");
+  ASSERT_TRUE(rig.until_done(first)) << depot::read_whole(rig.dir / "agent.log");
   ASSERT_TRUE(rig.until_done(second));
   EXPECT_EQ(rig.logged("begin"), 2);
-  EXPECT_NE(slurp(rig.dir / "agent.log").find("record can be written again"), std::string::npos);
+  EXPECT_NE(depot::read_whole(rig.dir / "agent.log").find("record can be written again"),
+            std::string::npos);
 }
 
 TEST(AgentProcess, ATaskThatFillsItsOutputEndsAndTheNextOneRuns) {
@@ -291,7 +295,7 @@
     EXPECT_TRUE(store.finish(upload, hash));
     return hash;
   };
-  std::string hash = put(slurp(rig.dir / "image.tar"), "aaaaaaaa");
+  std::string hash = put(depot::read_whole(rig.dir / "image.tar"), "aaaaaaaa");
   std::string torn = put("these bytes are no archive, whatever their hash may be", "bbbbbbbb");
   std::string damaged = put("something", "cccccccc");
   std::ofstream(rig.dir / "depot" / "blobs" / damaged.substr(0, 2) / damaged) << "something else";
--- a/tests/agent_rig.h
+++ b/tests/agent_rig.h
@@ -17,6 +17,7 @@
 
 #include "agent/agent.h"
 #include "depot/server.h"
+#include "depot/store.h"
 #include "far/description.h"
 #include "far/far.h"
 #include "net/http.h"
@@ -36,13 +37,6 @@
   return {"127.0.0.1", ntohs(a.sin_port)};
 }
 
-inline std::string slurp(const fs::path& p) {
-  std::ifstream in(p, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 class Rig {
  public:
   struct Task {
@@ -133,7 +127,7 @@
   }
   fs::path log() const { return dir / "log"; }
   int logged(const std::string& word) const {
-    std::istringstream in(slurp(log()));
+    std::istringstream in(depot::read_whole(log()));
     int n = 0;
     for (std::string line; std::getline(in, line);) n += line.starts_with(word);
     return n;
