A lease's renewal never shows its end; what a lost shepherd saved outlives the agent, too

Cause, found by reading: each renewal wrote session 0 for a moment, and a shepherd that looked then would have killed its task; an attempt whose shepherd was lost with a checkpoint still to be put away had no end.json, and the next agent looked for it for ever; a machine deleted while it booted could still be switched on by the cloud's stand-in. Change: a renewal writes the time alone; the end is taken from the record; machines that go stay off.

--- a/src/agent/lease_page.cpp
+++ b/src/agent/lease_page.cpp
@@ -12,8 +12,8 @@
 
 namespace shunt::agent {
 
-// Version 1. Both words are written alone; a session's end is written as session 0 before its time
-// is touched, so a reader that sees an old pair kills too early at worst, never too late.
+// Version 1. Each word is written alone. A renewal touches the time only: a shepherd that looked in
+// between and saw no session would kill its task. Between two sessions there is none.
 struct LeasePage::Layout {
   std::atomic<std::uint64_t> version, session;
   std::atomic<std::int64_t> until_ns;
@@ -36,9 +36,10 @@
 LeasePage::~LeasePage() { ::munmap(p_, 4096); }
 
 void LeasePage::set(std::uint64_t session, double until) {
-  p_->session = 0;
+  bool renewal = session != 0 && p_->session == session;
+  if (!renewal) p_->session = 0;
   p_->until_ns = static_cast<std::int64_t>(std::floor(until * 1e9));
-  p_->session = session;
+  if (!renewal) p_->session = session;
 }
 std::uint64_t LeasePage::session() const { return p_->session; }
 double LeasePage::until() const { return static_cast<double>(p_->until_ns) / 1e9; }
--- a/src/agent/tasks.cpp
+++ b/src/agent/tasks.cpp
@@ -426,7 +426,16 @@
 // What has ended is put into the depot before it is reported.
 void Agent::store(const Key& k, Live& l) {
   const fs::path dir = places_.task(k);
-  if (!l.end) l.end = decode_end(depot::read_whole(dir / "end.json"));
+  if (!l.end) {
+    try {
+      l.end = decode_end(depot::read_whole(dir / "end.json"));
+    } catch (const wire::Malformed&) {
+      // Its shepherd was lost, and the agent after that: what it was found to be is on record.
+      wire::Why why = book_.attempts.at(k).why;
+      l.end = End{why == wire::Why::done ? wire::Why::error : why, 0, "its shepherd was lost",
+                  highest_kept(dir)};
+    }
+  }
   if (l.end->why != wire::Why::done) {
     double now = boot_now();
     if (!l.give_up_at) l.give_up_at = now + settings_.lease_s / 2;
--- a/src/standins/cloud.cpp
+++ b/src/standins/cloud.cpp
@@ -86,7 +86,10 @@
 void Cloud::remove(net::ExchangePtr ex) {
   std::vector<std::string> there;
   for (const auto& name : far::decode_delete(ex->body))
-    if (machines_.contains(name)) there.push_back(name);
+    if (auto it = machines_.find(name); it != machines_.end()) {
+      it->second.going = true;
+      there.push_back(name);
+    }
   // They stay listed until they are gone, and are answered for only then.
   power_.off(there, reply<>([this, ex, there] {
                for (const auto& name : there) machines_.erase(name);
@@ -117,7 +120,7 @@
 void Cloud::boot() {
   double now = actor::Loop::now(), next = now + 1;
   for (auto& [name, m] : machines_) {
-    if (m.on) continue;
+    if (m.on || m.going) continue;
     if (m.boots_at <= now) {
       m.on = true;
       power_.on(m);
--- a/src/standins/cloud.h
+++ b/src/standins/cloud.h
@@ -24,6 +24,7 @@
   struct Machine {
     std::string name, type, zone, address;
     bool spot = false, on = false;
+    bool going = false;    // asked to be deleted: never switched on any more
     double rented_at = 0;  // wall clock
     double boots_at = 0;   // steady
   };
--- a/tests/agent_book_test.cpp
+++ b/tests/agent_book_test.cpp
@@ -7,9 +7,11 @@
 #include <sqlite3.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <set>
+#include <thread>
 
 #include "agent/book.h"
 #include "agent/lease_page.h"
@@ -249,6 +251,24 @@
                std::system_error);
 }
 
+// Guard: each renewal showed no session for a moment, and a shepherd that looked then killed its
+// task.
+TEST(AgentLease, ARenewalIsNeverSeenAsTheEndOfTheSession) {
+  TempDir dir;
+  agent::LeasePage writer(dir.path / "lease", agent::LeasePage::Open::write);
+  writer.set(3, 1);
+  std::atomic<bool> over = false;
+  std::uint64_t none = 0;
+  std::thread reader([&] {
+    agent::LeasePage page(dir.path / "lease", agent::LeasePage::Open::read);
+    while (!over) none += page.session() != 3;
+  });
+  for (int i = 0; i < 300000; ++i) writer.set(3, 1 + i);
+  over = true;
+  reader.join();
+  EXPECT_EQ(none, 0u);
+}
+
 // A process number that another process has by now is not the process that was written down.
 TEST(AgentProcesses, AreKnownByMoreThanTheirNumber) {
   auto me = agent::identity_of(::getpid());
--- a/tests/agent_process_test.cpp
+++ b/tests/agent_process_test.cpp
@@ -210,6 +210,35 @@
   EXPECT_EQ(rig.logged("from 2"), 1);
 }
 
+// Guard: such an attempt had no end.json, and the next agent looked for it for ever.
+TEST(AgentProcess, ACheckpointOutlivesItsShepherdAndTheAgent) {
+  Rig rig;
+  std::string id = rig.add(
+      "[ $SHUNT_ATTEMPT = 2 ] && { echo from $(cat $SHUNT_SAVE_DIR/last/n) >> " +
+          rig.log().string() + "; exit 0; }; until [ -e " + (rig.dir / "go").string() +
+          " ]; do sleep 0.05; done; mkdir $SHUNT_SAVE_DIR/next; echo 1 > $SHUNT_SAVE_DIR/next/n; "
+          "echo >&3; while [ -e $SHUNT_SAVE_DIR/next ]; do sleep 0.01; done; echo saved >> " +
+          rig.log().string() + "; sleep 1000",
+      30);
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  rig.close_depot();
+  std::ofstream(rig.dir / "go");
+  ASSERT_TRUE(rig.until_logged("saved"));
+  auto j = nlohmann::json::parse(
+      depot::read_whole(rig.dir / "m" / "tasks" / (id + ".0.1") / "shepherd.json"));
+  ::kill(j["pid"].get<pid_t>(), SIGKILL);
+  ASSERT_TRUE(rig.until([&] {
+    return depot::read_whole(rig.dir / "agent.log").find("task ended") != std::string::npos;
+  }));
+  rig.kill_agent();
+  rig.start();
+  rig.open_depot();
+  ASSERT_TRUE(rig.until_done(id)) << depot::read_whole(rig.dir / "agent.log");
+  EXPECT_EQ(rig.tasks[id].failed, 1);
+  EXPECT_EQ(rig.logged("from 1"), 1);
+}
+
 TEST(AgentProcess, AResultWaitsForTheDepotAndForTheControllers) {
   Rig rig;
   std::string id = rig.add("echo the result; until [ -e " + (rig.dir / "go").string() +
--- a/tests/agent_rig.h
+++ b/tests/agent_rig.h
@@ -25,16 +25,21 @@
 namespace shunt::test {
 namespace fs = std::filesystem;
 
+// Below the range that the system takes for its own connections, and elsewhere for each process: a
+// port is not taken by another one between here and its use.
 inline config::Endpoint free_endpoint() {
-  int s = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t n = sizeof a;
-  if (::bind(s, reinterpret_cast<sockaddr*>(&a), n) != 0) std::abort();
-  ::getsockname(s, reinterpret_cast<sockaddr*>(&a), &n);
-  ::close(s);
-  return {"127.0.0.1", ntohs(a.sin_port)};
+  static int next = ::getpid() * 131 % 10000;
+  while (true) {
+    auto port = static_cast<std::uint16_t>(10000 + next++ % 10000);
+    int s = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(port);
+    bool ok = ::bind(s, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+    ::close(s);
+    if (ok) return {"127.0.0.1", port};
+  }
 }
 
 class Rig {
