A checkpoint that cannot be packed no longer holds its attempt's end

Cause, found by reading: an error while a checkpoint was packed (a full disk) left the attempt marked as awaiting an answer, so its end was never stored or reported; in a later step it ended the agent. Change: the error is logged, the checkpoint is tried again, and the end does not wait for it.

--- a/src/agent/tasks.cpp
+++ b/src/agent/tasks.cpp
@@ -485,14 +485,24 @@
   std::uint64_t n = l.packer ? l.packing : highest_kept(dir);
   if (n <= l.uploaded) return;
   l.packing = n;
-  if (!l.packer) l.packer = std::make_unique<depot::Packer>(kept(dir, n), dir / "kept.tar");
-  l.busy = true;
-  if (!l.packer->step()) {
-    return post([this, k, of = guard(k)] {
-      if (Live* me = of()) upload_save(k, *me);
-    });
+  try {
+    if (!l.packer) l.packer = std::make_unique<depot::Packer>(kept(dir, n), dir / "kept.tar");
+    if (!l.packer->step()) {
+      l.busy = true;
+      return post([this, k, of = guard(k)] {
+        if (Live* me = of()) upload_save(k, *me);
+      });
+    }
+  } catch (const std::exception& e) {
+    // The disk. The checkpoint is tried again; the task's end does not wait for it.
+    auto fields = about(k);
+    fields["why"] = e.what();
+    log::error("checkpoint cannot be packed", fields);
+    l.packer.reset();
+    return later(l);
   }
   l.packer.reset();
+  l.busy = true;
   depot_.put_file(
       dir / "kept.tar", reply<depot::Outcome, std::string>([this, k, n, dir, of = guard(k)](
                                                                depot::Outcome o, std::string hash) {
--- a/tests/agent_process_test.cpp
+++ b/tests/agent_process_test.cpp
@@ -239,6 +239,21 @@
   EXPECT_EQ(rig.logged("from 1"), 1);
 }
 
+// Guard: a checkpoint that could not be packed left its attempt busy, and its end was never told.
+TEST(AgentProcess, ACheckpointThatCannotBePackedDoesNotHoldTheEnd) {
+  Rig rig;
+  std::string id = rig.add("until [ -e " + (rig.dir / "go").string() +
+                               " ]; do sleep 0.05; done; mkdir $SHUNT_SAVE_DIR/next; echo >&3; "
+                               "while [ -e $SHUNT_SAVE_DIR/next ]; do sleep 0.01; done",
+                           1);
+  rig.start();
+  ASSERT_TRUE(rig.until_logged("begin"));
+  fs::create_directories(rig.dir / "m" / "tasks" / (id + ".0.1") / "kept.tar");
+  std::ofstream(rig.dir / "go");
+  ASSERT_TRUE(rig.until_done(id)) << depot::read_whole(rig.dir / "agent.log");
+  EXPECT_EQ(rig.tasks[id].failed, 0);
+}
+
 TEST(AgentProcess, AResultWaitsForTheDepotAndForTheControllers) {
   Rig rig;
   std::string id = rig.add("echo the result; until [ -e " + (rig.dir / "go").string() +
