The controller is divided into actors that own their state

Need: one class of some sixty members answered users and workers, owned shards, read the state service and rented machines; state levels, drains and cells each add to all of these. Change: Store (cache, watch, barriers, commits), Membership, one Runner a shard, Outcomes, Users, Workers, Cloud, Roster, Peers. Others read what an actor shows and change it by its messages. What the state service says when it fails is met in Store, the cloud's faults in Cloud. What must not be older than a read is asked by message: Outcomes::standings answers after every change that the cache holds.

--- /dev/null
+++ b/src/front/membership.cpp
@@ -0,0 +1,88 @@
+#include "front/membership.h"
+
+#include <algorithm>
+
+#include "front/runner.h"
+
+namespace shunt::front {
+
+Membership::Membership(actor::Loop& loop, Parts& parts)
+    : Actor(loop), parts_(parts), ownership_(parts.settings) {
+  parts_.store->listen(reply<Changes>([this](Changes c) { changed(*c); }));
+}
+
+std::string Membership::tag(char letter, std::uint64_t n) const {
+  return parts_.settings.node + "." + std::to_string(boot_) + "." + letter + std::to_string(n);
+}
+
+void Membership::tick() {
+  post([this] {
+    renew_hold();
+    observe();
+  });
+}
+void Membership::look() {
+  post([this] { observe(); });
+}
+
+void Membership::changed(const std::vector<state::Change>& changes) {
+  if (std::any_of(changes.begin(), changes.end(), [](const state::Change& c) {
+        return c.kind == state::Change::owner || c.kind == state::Change::node;
+      }))
+    observe();
+}
+
+void Membership::observe() {
+  if (!parts_.store->loaded()) return;
+  ownership_.observe(parts_.store->world(), loop_.now());
+  for (auto& r : parts_.runners) r->consider();
+}
+
+void Membership::renew_hold() {
+  double now = loop_.now();
+  if (hold_busy_ || !parts_.store->loaded()) return;
+  if (!hold_) {
+    hold_busy_ = true;
+    parts_.state.post("/holds", wire::encode_lease(parts_.tuning.hold_s), state::Urgency::safety,
+                      reply<net::Result>([this](net::Result r) {
+                        hold_busy_ = false;
+                        try {
+                          if (r.status != 200) return;
+                          hold_ = wire::decode_lease(r.body);
+                        } catch (const wire::Malformed&) {
+                          return;
+                        }
+                        if (!boot_) boot_ = hold_;
+                        renew_at_ = loop_.now() + parts_.tuning.hold_s / 4;
+                        register_node();
+                      }));
+    return;
+  }
+  if (!parts_.store->world().node_stamp(parts_.settings.self)) register_node();
+  if (now < renew_at_) return;
+  hold_busy_ = true;
+  renew_at_ = now + parts_.tuning.hold_s / 4;
+  parts_.state.post("/holds/" + std::to_string(hold_) + "/renew", "", state::Urgency::safety,
+                    reply<net::Result>([this](net::Result r) {
+                      hold_busy_ = false;
+                      if (r.status == 404) hold_ = 0;
+                    }));
+}
+
+void Membership::register_node() {
+  if (registering_ || !hold_) return;
+  registering_ = true;
+  wire::Txn t;
+  t.ops.push_back(
+      {state::node_key(parts_.settings.node), "{\"boot\":" + std::to_string(boot_) + "}", hold_});
+  parts_.store->commit(t, state::Urgency::safety, 3,
+                       reply<state::CommitResult>([this](state::CommitResult r) {
+                         registering_ = false;
+                         if (r.kind == state::CommitResult::no_lease) hold_ = 0;
+                         if (r.kind != state::CommitResult::applied) return;
+                         ownership_.registered(r.revision);
+                         observe();
+                       }));
+}
+
+}  // namespace shunt::front
--- /dev/null
+++ b/src/front/membership.h
@@ -0,0 +1,40 @@
+// This process among the controllers: the hold that shows it alive, its node key, the names that no
+// other process has, and who owns which shard.
+#pragma once
+#include <cstdint>
+#include <string>
+
+#include "actor/loop.h"
+#include "front/parts.h"
+#include "front/store.h"
+#include "shard/ownership.h"
+
+namespace shunt::front {
+
+class Membership : public actor::Actor {
+ public:
+  Membership(actor::Loop& loop, Parts& parts);
+  void tick();
+  // Somebody has news of an owner that the cache may not have yet: the runners look again.
+  void look();
+
+  const shard::Ownership& ownership() const { return ownership_; }
+  // The first hold's id: no other process has it. 0: none yet.
+  std::uint64_t boot() const { return boot_; }
+  // Names what this process writes; `letter` tells its parts apart, `n` is counted by each.
+  std::string tag(char letter, std::uint64_t n) const;
+
+ private:
+  void changed(const std::vector<state::Change>& changes);
+  void observe();
+  void renew_hold();
+  void register_node();
+
+  Parts& parts_;
+  shard::Ownership ownership_;
+  std::uint64_t hold_ = 0, boot_ = 0;
+  bool hold_busy_ = false, registering_ = false;
+  double renew_at_ = 0;
+};
+
+}  // namespace shunt::front
--- a/src/front/roster.cpp
+++ b/src/front/roster.cpp
@@ -1,59 +1,79 @@
-// The roster: which shard each machine belongs to. Its pages are shared by all nodes, so every
-// write is guarded by its page's stamp, and what failed is decided anew from what is there then.
-#include "shard/roster.h"
+#include "front/roster.h"
 
-#include <spdlog/spdlog.h>
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
 
-#include "front/controller.h"
+#include "front/membership.h"
+#include "front/runner.h"
+#include "shard/roster.h"
 
 namespace shunt::front {
 namespace {
 constexpr std::size_t kPagesPerTxn = 6;
+constexpr int kUneven = 4;  // a shard with so many more machines than another takes no more
 }  // namespace
 
-void Controller::adopt(const wire::MachineRecord& found) {
-  if (roster_wishes_.contains(found.name)) return;
-  std::vector<int> have(settings_.shards(), 0);
-  for (const auto& [n, m] : world_.machines())
-    if (m.shard < settings_.shards()) ++have[m.shard];
-  for (const auto& [n, w] : roster_wishes_)
-    if (w.kind == fleet::RosterWish::add && w.machine.shard < settings_.shards())
-      ++have[w.machine.shard];
+Roster::Roster(actor::Loop& loop, Parts& parts) : Actor(loop), parts_(parts) {}
+
+void Roster::tick() {
+  post([this] { pump(); });
+}
+void Roster::adopt(wire::MachineRecord found) {
+  post([this, found = std::move(found)] { take_in(found); });
+}
+void Roster::drop(std::string machine) {
+  post([this, machine = std::move(machine)] {
+    wishes_.insert_or_assign(
+        machine, fleet::RosterWish{fleet::RosterWish::drop, {machine, {}, {}, false, 0, 0}});
+  });
+}
+
+void Roster::take_in(const wire::MachineRecord& found) {
+  if (wishes_.contains(found.name)) return;
+  const int shards = parts_.settings.shards();
+  std::vector<int> have(static_cast<std::size_t>(shards), 0);
+  auto count = [&](int shard) {
+    if (shard < shards) ++have[static_cast<std::size_t>(shard)];
+  };
+  for (const auto& [n, m] : parts_.store->world().machines()) count(m.shard);
+  for (const auto& [n, w] : wishes_)
+    if (w.kind == fleet::RosterWish::add) count(w.machine.shard);
   // Several nodes adopt at once when a fleet is found running: its names spread it evenly.
-  int least = *std::min_element(have.begin(), have.end());
-  int first = static_cast<int>(std::hash<std::string>{}(found.name) % have.size());
+  auto least = std::min_element(have.begin(), have.end());
+  std::size_t first = std::hash<std::string>{}(found.name) % have.size();
   if (auto digits = found.name.find_last_not_of("0123456789") + 1; digits < found.name.size())
-    first = static_cast<int>(std::strtoull(found.name.c_str() + digits, nullptr, 10) % have.size());
+    first = std::strtoull(found.name.c_str() + digits, nullptr, 10) % have.size();
   fleet::RosterWish w;
   w.machine = found;
-  w.machine.shard = first;
   // A shard that has far fewer comes first.
-  if (have[first] > least + 4)
-    w.machine.shard = static_cast<int>(std::min_element(have.begin(), have.end()) - have.begin());
-  roster_wishes_.emplace(found.name, std::move(w));
+  w.machine.shard = static_cast<int>(have[first] > *least + kUneven ? least - have.begin()
+                                                                    : static_cast<long>(first));
+  wishes_.emplace(found.name, std::move(w));
 }
 
-void Controller::roster_pump() {
-  double now = loop_.now();
-  if (!loaded_ || roster_out_ || now < roster_after_) return;
-  for (auto& s : shards_)
-    if (s.desk)
-      for (auto& w : s.desk->roster_wishes()) {
+void Roster::pump() {
+  const double now = loop_.now();
+  const state::World& world = parts_.store->world();
+  if (!parts_.store->loaded() || out_ || now < after_) return;
+  for (auto& r : parts_.runners)
+    if (r->desk())
+      for (auto& w : r->desk()->roster_wishes()) {
         const std::string name = w.machine.name;
-        roster_wishes_.insert_or_assign(name, std::move(w));
+        wishes_.insert_or_assign(name, std::move(w));
       }
   wire::Txn t;
   std::map<int, std::vector<std::string>> pages;
-  for (const auto& [name, w] : roster_wishes_) pages[state::roster_page(name)].push_back(name);
-  const std::string tag = next_tag();
-  const state::Room size = state_.limits().present();
+  for (const auto& [name, w] : wishes_) pages[state::roster_page(name)].push_back(name);
+  const std::string tag = parts_.membership->tag('m', ++tags_);
+  const state::Room size = parts_.state.limits().present();
   for (const auto& [page, names] : pages) {
     if (t.ops.size() >= std::min(kPagesPerTxn, size.ops)) break;
-    shard::RosterPage here(world_, page);
+    shard::RosterPage here(world, page);
     std::vector<std::pair<std::string, std::uint64_t>> owners;
     bool changed = false;
     for (const auto& name : names) {
-      const fleet::RosterWish& w = roster_wishes_.at(name);
+      const fleet::RosterWish& w = wishes_.at(name);
       const wire::MachineRecord* m = here.find(name);
       bool over = false;
       switch (w.kind) {
@@ -67,9 +87,9 @@
           break;
         case fleet::RosterWish::give: {
           // Only its shard's owner gives a machine away, and only while it is the owner.
-          over = !m || m->shard == w.machine.shard;
+          over = !m || m->shard == w.machine.shard || m->shard >= parts_.settings.shards();
           if (over) break;
-          auto& giver = shards_[m->shard].desk;
+          const fleet::Desk* giver = parts_.runner(m->shard).desk();
           over = !giver || !giver->has_machine(name);
           if (over) break;
           owners.emplace_back(state::owner_key(m->shard), giver->token());
@@ -81,7 +101,7 @@
         }
       }
       if (over)
-        roster_wishes_.erase(name);
+        wishes_.erase(name);
       else
         changed = true;
     }
@@ -100,19 +120,15 @@
     for (auto& op : mine.ops) t.ops.push_back(std::move(op));
   }
   if (t.ops.empty()) return;
-  roster_out_ = true;
-  state_.commit(t, state::Urgency::work, 3,
-                reply<state::CommitResult>([this, t](state::CommitResult c) {
-                  if (c.kind == state::CommitResult::applied) {
-                    roster_out_ = false;
-                    apply_own(t, c.revision);
-                    return;
-                  }
-                  // Lost a race, or not known: read again, and decide anew. Nodes that race for a
-                  // page come back at different times.
-                  roster_after_ = loop_.now() + 0.1 * (1 + settings_.self);
-                  barrier([this](bool) { roster_out_ = false; });
-                }));
+  out_ = true;
+  parts_.store->settle(std::move(t), state::Urgency::work, 3,
+                       reply<state::CommitResult>([this](state::CommitResult c) {
+                         out_ = false;
+                         // Lost a race, or not known: what was read since decides anew. Nodes that
+                         // race for a page come back at different times.
+                         if (c.kind != state::CommitResult::applied)
+                           after_ = loop_.now() + 0.1 * (1 + parts_.settings.self);
+                       }));
 }
 
 }  // namespace shunt::front
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -1,17 +1,19 @@
-// What users ask: submissions, polls, withdrawals, a team's view, and the load balancer's probe.
-#include <spdlog/spdlog.h>
+#include "front/users.h"
 
-#include <cmath>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "front/controller.h"
+#include "front/cloud.h"
+#include "front/membership.h"
+#include "front/outcomes.h"
+#include "front/peers.h"
 
 namespace shunt::front {
 namespace {
 
-constexpr std::size_t kFinalsKept = 4000;
-constexpr double kPeersUnknown = 2.5;  // after a start
-constexpr double kSubmitWait = 1.0;    // a submission not committed by then is refused
+constexpr double kSubmitWait = 1.0;  // a submission not committed by then is refused
+constexpr double kSubmitFresh = 6;   // nor is one taken on an older look at the state service
+constexpr double kServingFresh = 4;  // this node can serve with a look at most so old
 
 net::Answer later(double s = 1) { return {503, "{\"error\":\"not now\"}", s}; }
 net::Answer no(int status, const std::string& why) {
@@ -23,10 +25,15 @@
 
 }  // namespace
 
-void Controller::front(ExchangePtr ex) {
+void Users::ask(ExchangePtr ex) {
+  post([this, ex] { route(ex); });
+}
+
+std::string Users::next_tag() { return parts_.membership->tag('u', ++tags_); }
+
+void Users::route(const ExchangePtr& ex) {
   const std::string& p = ex->path;
   if (p == "/up") return up(ex);
-  if (p == "/agent/beat" && ex->post) return beat(ex);
   if (p == "/v2/runs" && ex->post) return submit(ex);
   if (p.starts_with("/v2/runs/")) {
     std::string id = p.substr(9);
@@ -44,26 +51,21 @@
   ex->send(no(404, "no such path"));
 }
 
-void Controller::up(ExchangePtr ex) {
-  double now = loop_.now();
-  bool serving = fresh(4);
-  // Just started, it has not heard of the others yet.
-  bool peer = now - started_at_ < kPeersUnknown;
-  for (const auto& n : peer_news_) peer |= n.serving && now - n.at < 3;
-  // Taking this node out helps only if another one can serve.
-  bool ok = serving || !peer;
+// Taking this node out helps only if another one can serve.
+void Users::up(const ExchangePtr& ex) {
+  bool ok = parts_.store->fresh(kServingFresh) || !parts_.peers->another_serves();
   ex->send(ok ? net::Answer{200, "{}", 0} : later());
 }
 
-int Controller::never_runs(const wire::JobSpec& s) const {
-  int t = settings_.team_index(s.team);
+int Users::never_runs(const wire::JobSpec& s) const {
+  int t = parts_.settings.team_index(s.team);
   if (t < 0) return 422;
-  if (catalogue_.empty()) return 503;
-  const auto& team = settings_.teams[t];
+  if (parts_.cloud->catalogue().empty()) return 503;
+  const auto& team = parts_.settings.teams[t];
   double n = s.service || s.gang ? s.tasks : 1;  // what must run at the same time
   auto over = [](double want, double limit) { return want > limit + 1e-9; };
   if (over(s.cpus * n, team.cpus_max) || over(s.gpus * n, team.gpus_max)) return 422;
-  for (const auto& type : catalogue_.types) {
+  for (const auto& type : parts_.cloud->catalogue().types) {
     if (s.types && std::find(s.types->begin(), s.types->end(), type.spec.name) == s.types->end())
       continue;
     if (s.zone &&
@@ -74,67 +76,64 @@
   return 422;
 }
 
-void Controller::remember_final(const std::string& id, const wire::FinalRecord& f) {
-  pipelines_.ended(id, f.cancelled);
-  if (!finals_.emplace(id, f).second) return;
-  finals_order_.push_back(id);
-  if (finals_order_.size() > kFinalsKept) {
-    finals_.erase(finals_order_.front());
-    finals_order_.pop_front();
-  }
-}
-
 // The state of a job, from a read that began after the request came. `unknown` runs if the state
 // service has never heard of it. This is the one place where a job's state is worked out.
-void Controller::answer_state(ExchangePtr ex, const std::string& id, bool counts,
-                              std::function<void()> unknown, int tries) {
-  auto answer = [ex, id, counts](wire::JobState s, std::uint64_t done, std::uint64_t running) {
-    ex->send({200, wire::encode_job_state(id, s, done, running, counts), 0});
-  };
-  auto final_answer = [answer](const wire::FinalRecord& f) {
-    answer(f.cancelled ? wire::JobState::cancelled : wire::JobState::done,
-           f.cancelled ? 0 : f.tasks, 0);
-  };
+void Users::answer_state(const ExchangePtr& ex, const std::string& id, bool counts,
+                         const std::function<void()>& unknown, int tries) {
   // What is final stays so, and needs no fresh read.
-  if (auto f = finals_.find(id); f != finals_.end()) return final_answer(f->second);
+  if (const auto* f = parts_.outcomes->final(id)) return answer_final(ex, id, *f, counts);
   if (tries == 0) return ex->send(later());
-  barrier([this, ex, id, counts, unknown, answer, final_answer, tries](bool ok) {
+  parts_.store->barrier(reply<bool>([this, ex, id, counts, unknown, tries](bool ok) {
     if (!ok) return ex->send(later());
-    if (const auto* j = world_.job(id)) {
-      auto [done, running] = world_.progress(*j, jobs::kChunk);
-      return answer(running ? wire::JobState::running : wire::JobState::queued, done, running);
-    }
-    if (world_.waiting(id)) {
-      // It follows from those before it, whoever owns its shard and however far its own record is
-      // behind: a job below a cancelled one has never started.
-      std::vector<std::string> missing;
-      switch (pipelines_.standing(id, &missing)) {
-        case jobs::Pipelines::Standing::queued:
-          return answer(wire::JobState::queued, 0, 0);
-        case jobs::Pipelines::Standing::cancelled:
-          return answer(wire::JobState::cancelled, 0, 0);
-        case jobs::Pipelines::Standing::unread:
-          return read_finals(missing, [this, ex, id, counts, unknown, tries](bool read) {
-            if (!read) return ex->send(later());
-            answer_state(ex, id, counts, unknown, tries - 1);
-          });
-      }
+    const state::World& world = parts_.store->world();
+    if (const auto* j = world.job(id)) {
+      auto [done, running] = world.progress(*j, jobs::kChunk);
+      auto s = running ? wire::JobState::running : wire::JobState::queued;
+      return ex->send({200, wire::encode_job_state(id, s, done, running, counts), 0});
     }
+    if (world.waiting(id)) return answer_waiting(ex, id, counts, unknown, tries);
     // Not live at the barrier: it is over already, or nobody knows it.
-    read_final(id, [this, ex, id, unknown, final_answer](Final found) {
-      if (found == Final::none) return unknown();
-      auto f = finals_.find(id);
-      if (found == Final::not_read || f == finals_.end()) return ex->send(later());
-      final_answer(f->second);
-    });
-  });
+    parts_.outcomes->look(
+        id, reply<Outcomes::Look>([this, ex, id, counts, unknown](Outcomes::Look found) {
+          if (found == Outcomes::Look::none) return unknown();
+          const auto* f = parts_.outcomes->final(id);
+          if (found == Outcomes::Look::not_read || !f) return ex->send(later());
+          answer_final(ex, id, *f, counts);
+        }));
+  }));
 }
 
-void Controller::poll(ExchangePtr ex, const std::string& id) {
+void Users::answer_final(const ExchangePtr& ex, const std::string& id, const wire::FinalRecord& f,
+                         bool counts) {
+  auto s = f.cancelled ? wire::JobState::cancelled : wire::JobState::done;
+  ex->send({200, wire::encode_job_state(id, s, f.cancelled ? 0 : f.tasks, 0, counts), 0});
+}
+
+// It follows from those before it, whoever owns its shard and however far its own record is
+// behind: a job below a cancelled one has never started.
+void Users::answer_waiting(const ExchangePtr& ex, const std::string& id, bool counts,
+                           const std::function<void()>& unknown, int tries) {
+  using Standing = jobs::Pipelines::Standing;
+  parts_.outcomes->standings(
+      {id},
+      reply<Outcomes::Standings>([this, ex, id, counts, unknown, tries](Outcomes::Standings s) {
+        if (s.of[0] == Standing::unread)
+          return parts_.outcomes->look_all(
+              std::move(s.missing), reply<bool>([this, ex, id, counts, unknown, tries](bool read) {
+                if (!read) return ex->send(later());
+                answer_state(ex, id, counts, unknown, tries - 1);
+              }));
+        auto state =
+            s.of[0] == Standing::queued ? wire::JobState::queued : wire::JobState::cancelled;
+        ex->send({200, wire::encode_job_state(id, state, 0, 0, counts), 0});
+      }));
+}
+
+void Users::poll(const ExchangePtr& ex, const std::string& id) {
   answer_state(ex, id, true, [ex] { ex->send(no(404, "no such job")); });
 }
 
-void Controller::submit(ExchangePtr ex) {
+void Users::submit(const ExchangePtr& ex) {
   wire::JobRecord r;
   try {
     r.spec = wire::decode_job(ex->body);
@@ -143,8 +142,9 @@
   }
   ++submissions_;
   const std::string& id = r.spec.id;
+  const state::World& world = parts_.store->world();
   int status = never_runs(r.spec);
-  if (status || finals_.contains(id) || world_.job(id) || world_.waiting(id)) {
+  if (status || parts_.outcomes->final(id) || world.job(id) || world.waiting(id)) {
     // A retry of a job that was accepted is never refused, whatever is thought of it now.
     return answer_state(ex, id, false, [ex, status] {
       // Unknown after all: gone between two looks cannot be, so this is a refusal or a race.
@@ -152,7 +152,7 @@
       ex->send(later());
     });
   }
-  if (!fresh(6)) {
+  if (!parts_.store->fresh(kSubmitFresh)) {
     ++refused_;
     return ex->send(later(2));
   }
@@ -163,7 +163,8 @@
 // Every job that is named has to have been accepted. That is for good, so what the cache has seen
 // will do; what it has not is looked for in two steps: by one read that begins now, for jobs that
 // another node accepted an instant ago, and then among the final records, all at once.
-void Controller::check_awaits(ExchangePtr ex, wire::JobRecord r, int look) {
+void Users::check_awaits(const ExchangePtr& ex, wire::JobRecord r, int look) {
+  const state::World& world = parts_.store->world();
   std::vector<std::string> open, unseen;
   bool cancelled = false;
   // A retry of a job that was accepted is never refused.
@@ -172,13 +173,13 @@
   };
   for (const auto& a : r.spec.awaits) {
     if (a == r.spec.id) return refuse("awaits names the job itself");
-    const auto* live = world_.job(a);
-    if (!live) live = world_.waiting(a);
-    auto f = finals_.find(a);
-    if ((live && live->record.spec.service) || (f != finals_.end() && f->second.service))
+    const auto* live = world.job(a);
+    if (!live) live = world.waiting(a);
+    const auto* f = parts_.outcomes->final(a);
+    if ((live && live->record.spec.service) || (f && f->service))
       return refuse("awaits names a service");
-    if (f != finals_.end())
-      cancelled |= f->second.cancelled;  // one that is done need not be awaited
+    if (f)
+      cancelled |= f->cancelled;  // one that is done need not be awaited
     else if (live)
       open.push_back(a);
     else
@@ -186,20 +187,20 @@
   }
   if (!unseen.empty()) {
     if (look == 2) return refuse("awaits names a job that was never accepted");
-    auto again = [this, ex, r, look](bool ok) {
+    auto again = reply<bool>([this, ex, r, look](bool ok) {
       if (ok) return check_awaits(ex, r, look + 1);
       ++refused_;
       ex->send(later());
-    };
-    if (look == 0) return barrier(again);
-    return read_finals(unseen, again);
+    });
+    if (look == 0) return parts_.store->barrier(again);
+    return parts_.outcomes->look_all(std::move(unseen), again);
   }
   if (open.empty() && !r.spec.awaits.empty()) r.ready_at = r.submitted_at;
   r.spec.awaits = std::move(open);
   accept(ex, r, cancelled);
 }
 
-void Controller::accept(ExchangePtr ex, const wire::JobRecord& r, bool cancelled) {
+void Users::accept(const ExchangePtr& ex, const wire::JobRecord& r, bool cancelled) {
   const std::string& id = r.spec.id;
   wire::FinalRecord f;
   wire::Txn t;
@@ -214,22 +215,20 @@
   }
   const std::size_t size = t.ops[0].value->size();
   const std::string too_long = "the job's description is too long";
-  if (size > state_.limits().room().value_bytes) return ex->send(no(400, too_long));
-  state_.commit(
-      t, state::Urgency::user, kSubmitWait,
-      reply<state::CommitResult>([this, ex, id, t, f, size, too_long](state::CommitResult c) {
+  if (size > parts_.state.limits().room().value_bytes) return ex->send(no(400, too_long));
+  parts_.store->commit(
+      std::move(t), state::Urgency::user, kSubmitWait,
+      reply<state::CommitResult>([this, ex, id, f, size, too_long](state::CommitResult c) {
         switch (c.kind) {
           case state::CommitResult::applied: {
-            if (f.cancelled) remember_final(id, f);
+            if (f.cancelled) parts_.outcomes->ended(id, f);
             auto s = f.cancelled ? wire::JobState::cancelled : wire::JobState::queued;
-            ex->send({201, wire::encode_job_state(id, s, 0, 0, false), 0});
-            apply_own(t, c.revision);
-            return;
+            return ex->send({201, wire::encode_job_state(id, s, 0, 0, false), 0});
           }
           case state::CommitResult::guard_failed:
             return answer_state(ex, id, false, [ex] { ex->send(later()); });
           case state::CommitResult::too_large:
-            if (size > state_.limits().room().value_bytes) return ex->send(no(400, too_long));
+            if (size > parts_.state.limits().room().value_bytes) return ex->send(no(400, too_long));
             [[fallthrough]];
           default:
             ++refused_;
@@ -238,45 +237,57 @@
       }));
 }
 
-void Controller::withdraw(ExchangePtr ex, const std::string& id, int tries) {
+void Users::withdraw(const ExchangePtr& ex, const std::string& id, int tries) {
   if (tries == 0) return ex->send(later());
-  auto over = [this, ex, id] {
-    answer_state(ex, id, false, [ex] { ex->send(no(404, "no such job")); });
-  };
-  if (finals_.contains(id)) return over();
-  barrier([this, ex, id, tries, over](bool ok) {
+  if (parts_.outcomes->final(id)) return withdrawn(ex, id);
+  parts_.store->barrier(reply<bool>([this, ex, id, tries](bool ok) {
     if (!ok) return ex->send(later());
-    const bool waits = world_.waiting(id) != nullptr;
-    const state::JobEntry* j = waits ? world_.waiting(id) : world_.job(id);
-    if (!j) return over();
-    // Cancelled already, with one before it.
-    if (waits && pipelines_.standing(id) == jobs::Pipelines::Standing::cancelled) return over();
-    // Done and cancelled race for the same keys: whichever commit comes first is the answer.
-    wire::FinalRecord f = wire::cancelled_record(j->record.spec, next_tag());
-    const std::string key = waits ? state::waiting_key(id) : state::job_key(id);
-    wire::Txn t;
-    t.guards = {{key, j->stamp}, {state::final_key(id), 0}};
-    t.ops.push_back({key, std::nullopt, 0});
-    t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
-    state_.commit(
-        t, state::Urgency::user, kSubmitWait,
-        reply<state::CommitResult>([this, ex, id, t, f, tries](state::CommitResult c) {
-          if (c.kind == state::CommitResult::applied) {
-            remember_final(id, f);
-            ex->send({200, wire::encode_job_state(id, wire::JobState::cancelled, 0, 0, false), 0});
-            apply_own(t, c.revision);
-          } else if (c.kind == state::CommitResult::guard_failed) {
-            withdraw(ex, id, tries - 1);
-          } else {
-            ex->send(later());
-          }
+    const state::World& world = parts_.store->world();
+    if (world.job(id)) return cancel(ex, id, tries);
+    if (!world.waiting(id)) return withdrawn(ex, id);
+    parts_.outcomes->standings(
+        {id}, reply<Outcomes::Standings>([this, ex, id, tries](Outcomes::Standings s) {
+          // Cancelled already, with one before it.
+          if (s.of[0] == jobs::Pipelines::Standing::cancelled) return withdrawn(ex, id);
+          cancel(ex, id, tries);
         }));
-  });
+  }));
+}
+
+// It is over, or nobody knows it.
+void Users::withdrawn(const ExchangePtr& ex, const std::string& id) {
+  answer_state(ex, id, false, [ex] { ex->send(no(404, "no such job")); });
+}
+
+// Done and cancelled race for the same keys: whichever commit comes first is the answer.
+void Users::cancel(const ExchangePtr& ex, const std::string& id, int tries) {
+  const state::World& world = parts_.store->world();
+  const bool waits = world.waiting(id) != nullptr;
+  const state::JobEntry* j = waits ? world.waiting(id) : world.job(id);
+  if (!j) return withdrawn(ex, id);
+  wire::FinalRecord f = wire::cancelled_record(j->record.spec, next_tag());
+  const std::string key = waits ? state::waiting_key(id) : state::job_key(id);
+  wire::Txn t;
+  t.guards = {{key, j->stamp}, {state::final_key(id), 0}};
+  t.ops.push_back({key, std::nullopt, 0});
+  t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
+  parts_.store->commit(
+      std::move(t), state::Urgency::user, kSubmitWait,
+      reply<state::CommitResult>([this, ex, id, f, tries](state::CommitResult c) {
+        if (c.kind == state::CommitResult::applied) {
+          parts_.outcomes->ended(id, f);
+          ex->send({200, wire::encode_job_state(id, wire::JobState::cancelled, 0, 0, false), 0});
+        } else if (c.kind == state::CommitResult::guard_failed) {
+          withdraw(ex, id, tries - 1);
+        } else {
+          ex->send(later());
+        }
+      }));
 }
 
 // A team's live jobs, in id order.
-void Controller::team(ExchangePtr ex, const std::string& name) {
-  int t = settings_.team_index(name);
+void Users::team(const ExchangePtr& ex, const std::string& name) {
+  int t = parts_.settings.team_index(name);
   if (t < 0) return ex->send(no(404, "no such team"));
   std::string after = net::query_value(ex->query, "after");
   std::string limit_text = net::query_value(ex->query, "limit");
@@ -288,52 +299,60 @@
   }
   if (!after.empty() && !wire::valid_job_id(after))
     return ex->send(no(400, "after is not a job id"));
-  barrier([this, ex, name, after, limit](bool ok) {
+  parts_.store->barrier(reply<bool>([this, ex, name, after, limit](bool ok) {
     if (!ok) return ex->send(later());
-    nlohmann::json list = nlohmann::json::array();
-    bool more = false;
+    const state::World& world = parts_.store->world();
     // Two lists in id order, merged: what may run, and what waits for other jobs.
-    auto ready = world_.jobs().upper_bound(after);
-    auto waits = world_.waiting().upper_bound(after);
-    while (ready != world_.jobs().end() || waits != world_.waiting().end()) {
-      const bool waiting = ready == world_.jobs().end() ||
-                           (waits != world_.waiting().end() && waits->first < ready->first);
-      const state::JobEntry& j = waiting ? (waits++)->second : (ready++)->second;
-      const auto& s = j.record.spec;
-      if (s.team != name) continue;
-      if (list.size() >= limit) {
+    auto list = std::make_shared<std::vector<Line>>();
+    std::vector<std::string> waiting;
+    bool more = false;
+    auto ready = world.jobs().upper_bound(after);
+    auto waits = world.waiting().upper_bound(after);
+    while (ready != world.jobs().end() || waits != world.waiting().end()) {
+      const bool from_waiting = ready == world.jobs().end() ||
+                                (waits != world.waiting().end() && waits->first < ready->first);
+      const state::JobEntry& j = from_waiting ? (waits++)->second : (ready++)->second;
+      if (j.record.spec.team != name) continue;
+      if (list->size() >= limit) {
         more = true;
         break;
       }
-      state::World::Progress p;
-      wire::JobState state = wire::JobState::queued;
-      if (!waiting) {
-        p = world_.progress(j, jobs::kChunk);
-        if (p.placed) state = wire::JobState::running;
-      } else {
-        switch (pipelines_.standing(s.id)) {
-          case jobs::Pipelines::Standing::unread:
-            // What was called cancelled must not be called queued: not before it has been read.
-            return ex->send(later());
-          case jobs::Pipelines::Standing::cancelled:
-            state = wire::JobState::cancelled;
-            break;
-          case jobs::Pipelines::Standing::queued:
-            break;
-        }
-      }
-      list.push_back({{"uid", s.id},
-                      {"consist", s.cls},
-                      {"signal", wire::state_name(state)},
-                      {"cars", s.tasks},
-                      {"done", p.done},
-                      {"running", p.placed}});
-      if (waiting) list.back()["awaits"] = s.awaits;
+      list->push_back({j.record.spec, from_waiting, {}});
+      if (from_waiting)
+        waiting.push_back(j.record.spec.id);
+      else
+        list->back().progress = world.progress(j, jobs::kChunk);
     }
-    ex->send({200,
-              nlohmann::json{{"crew", name}, {"runs", std::move(list)}, {"has_next", more}}.dump(),
-              0});
-  });
+    parts_.outcomes->standings(
+        std::move(waiting),
+        reply<Outcomes::Standings>([ex, name, list, more](Outcomes::Standings s) {
+          answer_team(ex, name, *list, s, more);
+        }));
+  }));
+}
+
+void Users::answer_team(const ExchangePtr& ex, const std::string& name,
+                        const std::vector<Line>& list, const Outcomes::Standings& s, bool more) {
+  nlohmann::json runs = nlohmann::json::array();
+  std::size_t waiting = 0;
+  for (const Line& l : list) {
+    wire::JobState state = l.progress.placed ? wire::JobState::running : wire::JobState::queued;
+    if (l.waits) {
+      auto standing = s.of[waiting++];
+      // What was called cancelled must not be called queued: not before it has been read.
+      if (standing == jobs::Pipelines::Standing::unread) return ex->send(later());
+      if (standing == jobs::Pipelines::Standing::cancelled) state = wire::JobState::cancelled;
+    }
+    runs.push_back({{"uid", l.spec.id},
+                    {"consist", l.spec.cls},
+                    {"signal", wire::state_name(state)},
+                    {"cars", l.spec.tasks},
+                    {"done", l.progress.done},
+                    {"running", l.progress.placed}});
+    if (l.waits) runs.back()["awaits"] = l.spec.awaits;
+  }
+  nlohmann::json body = {{"crew", name}, {"runs", std::move(runs)}, {"has_next", more}};
+  ex->send({200, body.dump(), 0});
 }
 
 }  // namespace shunt::front
--- /dev/null
+++ b/src/front/users.h
@@ -0,0 +1,55 @@
+// What users ask: submissions, polls, withdrawals, a team's view, and the load balancer's probe.
+#pragma once
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "front/outcomes.h"
+#include "front/parts.h"
+#include "front/store.h"
+#include "net/http.h"
+#include "wire/types.h"
+
+namespace shunt::front {
+
+class Users : public actor::Actor {
+ public:
+  Users(actor::Loop& loop, Parts& parts) : Actor(loop), parts_(parts) {}
+  void ask(net::ExchangePtr ex);
+  std::uint64_t submissions() const { return submissions_; }
+  std::uint64_t refused() const { return refused_; }
+
+ private:
+  using ExchangePtr = net::ExchangePtr;
+  void route(const ExchangePtr& ex);
+  void submit(const ExchangePtr& ex);
+  void poll(const ExchangePtr& ex, const std::string& id);
+  void withdraw(const ExchangePtr& ex, const std::string& id, int tries);
+  void withdrawn(const ExchangePtr& ex, const std::string& id);
+  void cancel(const ExchangePtr& ex, const std::string& id, int tries);
+  void team(const ExchangePtr& ex, const std::string& name);
+  void answer_state(const ExchangePtr& ex, const std::string& id, bool counts,
+                    const std::function<void()>& unknown, int tries = 3);
+  void answer_waiting(const ExchangePtr& ex, const std::string& id, bool counts,
+                      const std::function<void()>& unknown, int tries);
+  static void answer_final(const ExchangePtr& ex, const std::string& id, const wire::FinalRecord& f,
+                           bool counts);
+  // A job of a team's view.
+  struct Line {
+    wire::JobSpec spec;
+    bool waits = false;
+    state::World::Progress progress;
+  };
+  static void answer_team(const ExchangePtr& ex, const std::string& name,
+                          const std::vector<Line>& list, const Outcomes::Standings& s, bool more);
+  void check_awaits(const ExchangePtr& ex, wire::JobRecord r, int look);
+  void accept(const ExchangePtr& ex, const wire::JobRecord& r, bool cancelled);
+  void up(const ExchangePtr& ex);
+  int never_runs(const wire::JobSpec& s) const;  // 0: can run; else the status
+  std::string next_tag();
+
+  Parts& parts_;
+  std::uint64_t submissions_ = 0, refused_ = 0, tags_ = 0;
+};
+
+}  // namespace shunt::front
--- /dev/null
+++ b/src/front/workers.h
@@ -0,0 +1,24 @@
+// What workers report: each report goes to the runner of its machine's shard.
+#pragma once
+#include "front/parts.h"
+#include "front/store.h"
+#include "net/http.h"
+#include "wire/types.h"
+
+namespace shunt::front {
+
+class Workers : public actor::Actor {
+ public:
+  Workers(actor::Loop& loop, Parts& parts) : Actor(loop), parts_(parts) {}
+  void report(net::ExchangePtr ex);
+  std::uint64_t garbage() const { return garbage_; }
+
+ private:
+  void take(const net::ExchangePtr& ex);
+  int shard_of(const std::string& machine) const;  // -1: nobody's
+
+  Parts& parts_;
+  std::uint64_t garbage_ = 0;
+};
+
+}  // namespace shunt::front
--- a/src/shard/ownership.cpp
+++ b/src/shard/ownership.cpp
@@ -8,10 +8,7 @@
 }  // namespace
 
 Ownership::Ownership(const config::Settings& s)
-    : settings_(s),
-      spent_(s.shards(), 0),
-      seen_since_(s.shards(), -1),
-      gone_since_(s.shards(), -1) {}
+    : settings_(s), seen_since_(s.shards(), -1), gone_since_(s.shards(), -1) {}
 
 void Ownership::observe(const state::World& w, double now) {
   for (int n = 0; n < settings_.shards(); ++n) {
@@ -26,7 +23,7 @@
   }
 }
 
-Move Ownership::decide(const state::World& w, int shard, double now) const {
+Move Ownership::decide(const state::World& w, int shard, double now, std::uint64_t spent) const {
   Move m;
   const int self = settings_.self, home = shard, size = settings_.shards();
   if (!registered_ || !w.node_stamp(self)) return m;
@@ -38,7 +35,7 @@
     m.guards.emplace_back(key, stamp);
   };
   if (o.node == self) {
-    if (o.stamp < registered_ || spent_[shard] == o.stamp) {
+    if (o.stamp < registered_ || spent == o.stamp) {
       take();
     } else if (w.revision() < o.stamp) {
       // Our own commit is known before what came just before it has been read: an earlier owner's
--- a/src/shard/ownership.h
+++ b/src/shard/ownership.h
@@ -23,16 +23,15 @@
   void registered(std::uint64_t stamp) {
     if (!registered_) registered_ = stamp;
   }
-  // The desk of this token has been closed. Its attempts and its knowledge of what is in flight
-  // went with it, so the token must not be acted on again: it is reclaimed under a new one.
-  void spent(int shard, std::uint64_t token) { spent_[shard] = token; }
   void observe(const state::World& w, double now);
-  Move decide(const state::World& w, int shard, double now) const;
+  // `spent`: the latest token whose desk this process has closed. The desk's attempts and its
+  // knowledge of what is in flight went with it, so the token must not be acted on again: it is
+  // reclaimed under a new one.
+  Move decide(const state::World& w, int shard, double now, std::uint64_t spent) const;
 
  private:
   const config::Settings& settings_;
   std::uint64_t registered_ = 0;
-  std::vector<std::uint64_t> spent_;
   std::vector<double> seen_since_, gone_since_;  // by node; -1: not so
 };
 
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -109,7 +109,7 @@
     }
     owners[n].observe(worlds[n], now);
     for (int k = 0; k < 3; ++k) {
-      shard::Move m = owners[n].decide(worlds[n], k, now);
+      shard::Move m = owners[n].decide(worlds[n], k, now, 0);
       if (m.kind == shard::Move::act) {
         auto grant = granted.find(m.token);
         bool mine = grant != granted.end() && grant->second == n;
@@ -147,15 +147,15 @@
   o.registered(store.revision);
   store.read(w, ch);
   o.observe(w, 1);
-  EXPECT_EQ(o.decide(w, 0, 100).kind, shard::Move::take);
+  EXPECT_EQ(o.decide(w, 0, 100, 0).kind, shard::Move::take);
   store.commit({{}, {{state::job_key("run-100000"), wire::encode_record(make_job(0, 1, 1)), 0}}});
   wire::Txn own;
   own.ops.push_back({state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", ""}), 0});
   auto rev = store.commit(own);
   w.apply({own.ops[0].key, own.ops[0].value, *rev}, ch);  // answered, not yet read
-  EXPECT_EQ(o.decide(w, 0, 101).kind, shard::Move::none);
+  EXPECT_EQ(o.decide(w, 0, 101, 0).kind, shard::Move::none);
   store.read(w, ch);
-  EXPECT_EQ(o.decide(w, 0, 101).kind, shard::Move::act);
+  EXPECT_EQ(o.decide(w, 0, 101, 0).kind, shard::Move::act);
   EXPECT_NE(w.job("run-100000"), nullptr);
 }
 
@@ -174,9 +174,8 @@
   store.commit(own);
   store.read(w, ch);
   o.observe(w, 1);
-  EXPECT_EQ(o.decide(w, 0, 1).kind, shard::Move::act);
-  o.spent(0, w.owner(0).stamp);
-  EXPECT_EQ(o.decide(w, 0, 1).kind, shard::Move::take);
+  EXPECT_EQ(o.decide(w, 0, 1, 0).kind, shard::Move::act);
+  EXPECT_EQ(o.decide(w, 0, 1, w.owner(0).stamp).kind, shard::Move::take);
 }
 
 }  // namespace
