State levels: what is stored changes form when every node can read it, and never before

Need: the fleet is upgraded at night with nobody there; drains and cells change the stored state. Change: src/levels (pure): each build states the levels that it reads and writes, in its node key; the active level is a durable record, raised by one commit that is guarded by every node key's stamp, settled when all that stands has been converted, lowered by an order where it can be. A form is asked once a transaction, from the read that guards it. A build that cannot do what stands serves nothing and says why. Orders and the state through /levels and shuntctl levels. Level 1: roster pages tell when machines were rented, which draining by age needs; builds of level 0 read past it.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -14,7 +14,10 @@
   app.add_option("--config", config_path, "settings of this node (JSON)")->required();
   app.add_option("--tuning", tuning_path, "operators' tuning (XML)");
   app.add_flag("--check", check, "check the settings and tuning, then exit");
-  app.set_version_flag("--version", std::string("shunttrail 0.1.0"));
+  const auto build = shunt::levels::here();
+  app.set_version_flag(
+      "--version", "shunttrail 0.1.0, state levels " + std::to_string(build.lowest) + " to " +
+                       std::to_string(build.highest) + ", writes " + std::to_string(build.writes));
   CLI11_PARSE(app, argc, argv);
 
   spdlog::set_default_logger(spdlog::stderr_logger_st("shunttrail"));
@@ -40,7 +43,7 @@
   if (check) return 0;
   try {
     actor::Loop loop;
-    front::Controller controller(loop, settings, tuning);
+    front::Controller controller(loop, settings, tuning, build);
     loop.run();
   } catch (const std::exception& e) {
     spdlog::error("{}", e.what());
--- a/app/shuntctl.cpp
+++ b/app/shuntctl.cpp
@@ -12,6 +12,7 @@
 
 #include "ctl/service.h"
 #include "depot/archive.h"
+#include "levels/levels.h"
 
 namespace {
 
@@ -33,6 +34,10 @@
   std::uint32_t task = 0;
   bool err = false;
   double timeout_s = 0;
+  // levels
+  int hold = 0;
+  std::string gone, here;
+  bool release = false;
 };
 
 [[noreturn]] void usage(const std::string& why) { throw CLI::ValidationError(why); }
@@ -207,6 +212,50 @@
   return 0;
 }
 
+// The active state level, which builds the nodes have, and what holds the next one back.
+void show_levels(const json& j) {
+  const json& stands = j.at("stands");
+  std::printf("state level %d is active", j.at("active").get<int>());
+  if (stands[0] != stands[1])
+    std::printf("; forms of %d to %d stand, %.0f%% converted", stands[0].get<int>(),
+                stands[1].get<int>(), 100 * j.at("converted").get<double>());
+  std::printf("\n");
+  for (const auto& n : j.at("nodes")) {
+    std::printf("  %s: ", n.at("name").get<std::string>().c_str());
+    if (!n.at("alive").get<bool>())
+      std::printf("not there%s\n", n.value("gone", false) ? ", declared gone" : "");
+    else
+      std::printf("reads %d to %d, writes %d\n", n.at("reads")[0].get<int>(),
+                  n.at("reads")[1].get<int>(), n.at("writes").get<int>());
+  }
+  if (j.contains("hold")) std::printf("held at %d by order\n", j["hold"].get<int>());
+  for (const auto& h : j.at("held_by"))
+    std::printf("held back by %s, which %s, for %.0f s\n", h.at("by").get<std::string>().c_str(),
+                h.at("why").get<std::string>().c_str(), h.at("since_s").get<double>());
+  if (j.contains("serves_nothing"))
+    std::printf("%s serves nothing: %s\n", j.at("node").get<std::string>().c_str(),
+                j["serves_nothing"].get<std::string>().c_str());
+}
+
+int levels_command(ctl::Service& service, const Options& o, const CLI::App& c) {
+  std::vector<levels::Order> orders;
+  if (c.count("--hold")) orders.push_back({levels::Order::hold, o.hold, {}});
+  if (o.release) orders.push_back({levels::Order::release, 0, {}});
+  if (!o.gone.empty()) orders.push_back({levels::Order::gone, 0, o.gone});
+  if (!o.here.empty()) orders.push_back({levels::Order::here, 0, o.here});
+  if (orders.size() > 1) usage("levels: give one of --hold, --release, --gone, --here");
+  net::Result r = orders.empty() ? service.get("/levels")
+                                 : service.order("/levels", levels::encode(orders.front()));
+  auto j = json::parse(r.body, nullptr, false);
+  if (r.status == 404 || !j.is_object() || !j.contains("active"))
+    throw ctl::Failed("this controller knows no state levels");
+  if (o.as_json)
+    std::printf("%s\n", j.dump().c_str());
+  else
+    show_levels(j);
+  return 0;
+}
+
 void add_id(CLI::App* c, Options& o) { c->add_option("JOB", o.id, "the job's id")->required(); }
 
 }  // namespace
@@ -284,6 +333,13 @@
   out->add_flag("--err", o.err, "its standard error instead");
   auto* up = app.add_subcommand("up", "whether the service can take requests");
   auto* metrics = app.add_subcommand("metrics", "a controller's counters");
+  auto* levels_cmd = app.add_subcommand(
+      "levels", "which form of the stored state is in use, and what holds the next one back");
+  levels_cmd->add_option("--hold", o.hold, "the active level is at most this, lowered if need be")
+      ->check(CLI::Range(0, 1000));
+  levels_cmd->add_flag("--release", o.release, "no longer held");
+  levels_cmd->add_option("--gone", o.gone, "a node that will not come back, and is not waited for");
+  levels_cmd->add_option("--here", o.here, "a node that is waited for again");
 
   try {
     app.parse(argc, argv);
@@ -303,6 +359,7 @@
       return 0;
     }
     if (out->parsed()) return output(service, o);
+    if (levels_cmd->parsed()) return levels_command(service, o, *levels_cmd);
     if (up->parsed()) {
       bool ok = service.up();
       std::printf("%s\n", o.as_json ? (ok ? "{\"up\":true}" : "{\"up\":false}")
--- a/src/ctl/service.cpp
+++ b/src/ctl/service.cpp
@@ -120,6 +120,12 @@
   return r;
 }
 
+net::Result Service::order(const std::string& path, const std::string& body) {
+  net::Result r = insist("POST", path, body);
+  if (r.status != 200) throw Failed("refused: " + reason(r));
+  return r;
+}
+
 far::JobAnswer Service::withdraw(const std::string& id) {
   net::Result r = insist("POST", "/v2/runs/" + id + "/withdraw", "{}");
   if (r.status != 200) throw Failed("refused: " + reason(r));
--- a/src/ctl/service.h
+++ b/src/ctl/service.h
@@ -30,6 +30,8 @@
   std::optional<far::JobAnswer> status(const std::string& id);  // nothing: no such job
   far::JobAnswer withdraw(const std::string& id);
   net::Result get(const std::string& path);  // any path of the service, retried as a poll
+  // An operator's order, repeated until its answer is final; throws Failed where it is refused.
+  net::Result order(const std::string& path, const std::string& body);
   bool up();
 
   std::optional<far::Description> description(const std::string& id);
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -361,7 +361,8 @@
     if (m->rostered && !give) continue;
     out.push_back({give ? RosterWish::give : RosterWish::add,
                    {m->name, catalogue_.types[m->type].spec.name, settings_.zones[m->zone], m->spot,
-                    give ? m->giving : shard_, token_}});
+                    give ? m->giving : shard_, token_, 0},
+                   m->rented_at});
   }
   return out;
 }
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -61,6 +61,7 @@
 struct RosterWish {
   enum Kind { add, give, drop } kind = add;
   wire::MachineRecord machine;
+  double rented_at = 0;  // add: by the steady clock
 };
 
 class Desk {
--- a/src/front/cloud.cpp
+++ b/src/front/cloud.cpp
@@ -18,11 +18,16 @@
     : Actor(loop), parts_(parts), client_(loop, parts.settings) {}
 
 const std::string* Cloud::address(const std::string& machine) const {
-  auto a = addrs_.find(machine);
-  return a == addrs_.end() ? nullptr : &a->second;
+  auto a = seen_.find(machine);
+  return a == seen_.end() ? nullptr : &a->second.addr;
+}
+double Cloud::rented_at(const std::string& machine) const {
+  auto a = seen_.find(machine);
+  return a == seen_.end() ? 0 : a->second.rented_at;
 }
 void Cloud::met(std::string machine, std::string addr) {
-  post([this, machine = std::move(machine), addr = std::move(addr)] { addrs_[machine] = addr; });
+  post(
+      [this, machine = std::move(machine), addr = std::move(addr)] { seen_[machine].addr = addr; });
 }
 
 void Cloud::tick() {
@@ -133,7 +138,7 @@
   const double now = loop_.now();
   list_now_.insert(m.name);
   seen_listed_.insert(m.name);
-  addrs_[m.name] = m.addr;
+  seen_[m.name] = {m.addr, loop_.wall_now() - m.age_s};
   if (const auto* known = parts_.store->world().machine(m.name)) {
     unknown_since_.erase(m.name);
     int k = known->shard;
@@ -144,7 +149,7 @@
   }
   if (!parts_.runner(0).desk() || removed_.contains(m.name)) return;
   double since = unknown_since_.try_emplace(m.name, now).first->second;
-  if (now - since > kUnknownFor) parts_.roster->adopt({m.name, m.type, m.zone, m.spot, 0, 0});
+  if (now - since > kUnknownFor) parts_.roster->adopt({m.name, m.type, m.zone, m.spot, 0, 0, 0});
 }
 
 // Once listed, a machine stays listed until it is gone; but lists come out of order, so it takes
@@ -163,7 +168,7 @@
     for (auto& r : parts_.runners) r->failed(*it, true);
     missing_.erase(*it);
     unknown_since_.erase(*it);
-    addrs_.erase(*it);
+    seen_.erase(*it);
     it = seen_listed_.erase(it);
   }
   list_busy_ = false;
--- a/src/front/cloud.h
+++ b/src/front/cloud.h
@@ -24,6 +24,8 @@
   const fleet::Catalogue& catalogue() const { return catalogue_; }
   // As last listed or reported; none: never.
   const std::string* address(const std::string& machine) const;
+  // Time of day, by the latest list; 0: not listed yet.
+  double rented_at(const std::string& machine) const;
   bool removed(const std::string& machine) const { return removed_.contains(machine); }
 
  private:
@@ -46,7 +48,11 @@
   std::map<std::string, double> unknown_since_;  // listed machines without a record
   std::map<std::string, double> removed_;        // machines deleted lately
   std::set<std::string> seen_listed_, list_now_;
-  std::unordered_map<std::string, std::string> addrs_;
+  struct Seen {
+    std::string addr;
+    double rented_at = 0;
+  };
+  std::unordered_map<std::string, Seen> seen_;
   std::map<std::string, int> missing_;
 };
 
--- a/src/front/controller.cpp
+++ b/src/front/controller.cpp
@@ -11,12 +11,14 @@
 constexpr std::size_t kBodyMost = 64 * 1024;
 }  // namespace
 
-Controller::Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t)
+Controller::Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t,
+                       levels::Build build)
     : Actor(loop),
       client_(loop, s),
       parts_{s, t, client_},
       store_(loop, s, client_),
-      outcomes_(loop, (parts_.store = &store_, parts_)),
+      levels_(loop, (parts_.store = &store_, parts_), build),
+      outcomes_(loop, parts_),
       membership_(loop, parts_),
       cloud_(loop, parts_),
       roster_(loop, parts_),
@@ -26,6 +28,7 @@
       timer_(loop, [this] { post([this] { tick(); }); }),
       front_(loop, s.front, kBodyMost, [this](net::ExchangePtr ex) { front(ex); }),
       internal_(loop, s.internal, kBodyMost, [this](net::ExchangePtr ex) { internal(ex); }) {
+  parts_.levels = &levels_;
   parts_.outcomes = &outcomes_;
   parts_.membership = &membership_;
   parts_.cloud = &cloud_;
@@ -39,6 +42,7 @@
 void Controller::tick() {
   timer_.after(kTick);
   store_.tick();
+  levels_.tick();
   membership_.tick();
   outcomes_.tick();
   for (auto& r : parts_.runners) r->tick();
@@ -58,6 +62,7 @@
       "{} jobs wait for others, {} made ready, {} ended with them",
       cost.refused, cost.waited_s, cost.write_rate, client_.queued(),
       store_.world().waiting().size(), outcomes_.made_ready(), outcomes_.ended_with_others());
+  spdlog::info("levels {}", levels_.describe());
 }
 
 void Controller::front(const net::ExchangePtr& ex) {
@@ -70,6 +75,7 @@
 void Controller::internal(const net::ExchangePtr& ex) {
   if (ex->path == "/peer/beat" && ex->post) return peers_.heard(ex);
   if (ex->path == "/metrics" && !ex->post) return ex->send({200, metrics(), 0});
+  if (ex->path == "/levels") return levels_.ask(ex);
   ex->send({404, "{}", 0});
 }
 
@@ -92,6 +98,7 @@
                       {"state_waited_s", cost.waited_s},
                       {"state_write_rate", cost.write_rate},
                       {"garbage", garbage},
+                      {"levels", nlohmann::json::parse(levels_.describe())},
                       {"desks", nlohmann::json::array()}};
   for (const auto& r : parts_.runners)
     if (r->desk()) j["desks"].push_back(nlohmann::json::parse(r->desk()->summary()));
--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -5,6 +5,7 @@
 #include "actor/loop.h"
 #include "config/settings.h"
 #include "front/cloud.h"
+#include "front/levels.h"
 #include "front/membership.h"
 #include "front/outcomes.h"
 #include "front/parts.h"
@@ -21,7 +22,8 @@
 
 class Controller : public actor::Actor {
  public:
-  Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t);
+  Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t,
+             levels::Build build = levels::here());
 
  private:
   void tick();
@@ -33,7 +35,8 @@
   state::Client client_;
   Parts parts_;
   Store store_;
-  // Told of changes in this order: what jobs await, who is alive, then the shards.
+  // Told of changes in this order: the level, what jobs await, who is alive, then the shards.
+  Levels levels_;
   Outcomes outcomes_;
   Membership membership_;
   Cloud cloud_;
--- /dev/null
+++ b/src/front/levels.h
@@ -0,0 +1,45 @@
+// The active state level at this node: whether its build may serve, the commits that raise, settle
+// and lower the level, and the operators' orders about it.
+#pragma once
+#include <functional>
+#include <map>
+#include <string>
+
+#include "front/parts.h"
+#include "front/store.h"
+#include "levels/levels.h"
+#include "net/http.h"
+
+namespace shunt::front {
+
+class Levels : public actor::Actor {
+ public:
+  Levels(actor::Loop& loop, Parts& parts, levels::Build build);
+  void tick();
+  void ask(net::ExchangePtr ex);  // GET: what stands; POST: an order
+
+  const levels::Build& build() const { return build_; }
+  // Why this build must not serve beside the state as it has been read; empty: it may.
+  std::string refusal() const;
+  bool serves() const { return refusal().empty(); }
+  // One node at a time brings what stands in another form to the active level's.
+  bool converts() const;
+  std::string describe() const;  // JSON
+
+ private:
+  void look();
+  void step();
+  void order(const net::ExchangePtr& ex);
+
+  Parts& parts_;
+  const levels::Build build_;
+  levels::Outlook outlook_;
+  std::map<std::pair<std::string, std::string>, double> held_since_;
+  std::string said_;       // of this build's refusal, in the log
+  double step_since_ = 0;  // 0: there is no step to be made
+  int step_from_ = -1;     // the level that it is made from
+  bool out_ = false;
+  std::uint64_t tags_ = 0;
+};
+
+}  // namespace shunt::front
--- a/src/front/membership.cpp
+++ b/src/front/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "front/levels.h"
 #include "front/runner.h"
 
 namespace shunt::front {
@@ -41,6 +42,9 @@
 void Membership::renew_hold() {
   double now = loop_.now();
   if (hold_busy_ || !parts_.store->loaded()) return;
+  // A build that cannot do with the state as it stands is nobody: it is not registered, and if it
+  // was, others need not wait for the hold to end.
+  if (!parts_.levels->serves()) return leave();
   if (!hold_) {
     hold_busy_ = true;
     parts_.state.post("/holds", wire::encode_lease(parts_.tuning.hold_s), state::Urgency::safety,
@@ -58,7 +62,7 @@
                       }));
     return;
   }
-  if (!parts_.store->world().node_stamp(parts_.settings.self)) register_node();
+  if (!mine_ || parts_.store->world().node_stamp(parts_.settings.self) != mine_) register_node();
   if (now < renew_at_) return;
   hold_busy_ = true;
   renew_at_ = now + parts_.tuning.hold_s / 4;
@@ -69,17 +73,30 @@
                     }));
 }
 
+void Membership::leave() {
+  const std::string key = state::node_key(parts_.settings.node);
+  const std::uint64_t stamp = parts_.store->world().node_stamp(parts_.settings.self);
+  if (registering_ || !stamp) return;
+  registering_ = true;
+  mine_ = 0;
+  wire::Txn t{{{key, stamp}}, {{key, std::nullopt, 0}}};
+  parts_.store->settle(
+      std::move(t), state::Urgency::safety, 3,
+      reply<state::CommitResult>([this](state::CommitResult) { registering_ = false; }));
+}
+
 void Membership::register_node() {
   if (registering_ || !hold_) return;
+  auto t = levels::enroll(parts_.store->world().levels(), parts_.settings.node, boot_,
+                          parts_.levels->build(), hold_);
+  if (!t) return;
   registering_ = true;
-  wire::Txn t;
-  t.ops.push_back(
-      {state::node_key(parts_.settings.node), "{\"boot\":" + std::to_string(boot_) + "}", hold_});
-  parts_.store->commit(t, state::Urgency::safety, 3,
+  parts_.store->settle(std::move(*t), state::Urgency::safety, 3,
                        reply<state::CommitResult>([this](state::CommitResult r) {
                          registering_ = false;
                          if (r.kind == state::CommitResult::no_lease) hold_ = 0;
                          if (r.kind != state::CommitResult::applied) return;
+                         mine_ = r.revision;
                          ownership_.registered(r.revision);
                          observe();
                        }));
--- a/src/front/membership.h
+++ b/src/front/membership.h
@@ -29,10 +29,12 @@
   void observe();
   void renew_hold();
   void register_node();
+  void leave();
 
   Parts& parts_;
   shard::Ownership ownership_;
   std::uint64_t hold_ = 0, boot_ = 0;
+  std::uint64_t mine_ = 0;  // the stamp of the node key that this process wrote
   bool hold_busy_ = false, registering_ = false;
   double renew_at_ = 0;
 };
--- a/src/front/outcomes.cpp
+++ b/src/front/outcomes.cpp
@@ -1,5 +1,6 @@
 #include "front/outcomes.h"
 
+#include "front/levels.h"
 #include "front/membership.h"
 #include "front/runner.h"
 
@@ -149,7 +150,7 @@
         stir();
       });
     }
-  if (!store.fresh(parts_.settings.stale_s())) return;
+  if (!store.fresh(parts_.settings.stale_s()) || !parts_.levels->serves()) return;
   move_waiting(true);
   move_waiting(false);
   if (move_since_.size() > 2 * (pipelines_.ready().size() + pipelines_.doomed().size()) + 16)
--- a/src/front/parts.h
+++ b/src/front/parts.h
@@ -11,6 +11,7 @@
 namespace shunt::front {
 
 class Store;       // the state service as this node knows it
+class Levels;      // the active state level, and whether this build may serve
 class Membership;  // the key that shows this node alive, and who owns what
 class Outcomes;    // how jobs ended, and jobs that await others
 class Cloud;       // types, rents, returns, the list
@@ -23,6 +24,7 @@
   const config::Tuning& tuning;
   state::Client& state;
   Store* store = nullptr;
+  Levels* levels = nullptr;
   Membership* membership = nullptr;
   Outcomes* outcomes = nullptr;
   Cloud* cloud = nullptr;
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "front/levels.h"
 #include "front/membership.h"
 #include "front/runner.h"
 
@@ -69,7 +70,7 @@
   beat_at_ = now + kBeatGap;
   peer::Beat b;
   b.node = parts_.settings.self;
-  b.serving = parts_.store->fresh(kServesFor);
+  b.serving = parts_.store->fresh(kServesFor) && parts_.levels->serves();
   for (int k = 0; k < parts_.settings.shards(); ++k) {
     b.tokens.push_back(parts_.store->world().owner(k).stamp);
     peer::Beat::Load l;
--- a/src/front/roster.cpp
+++ b/src/front/roster.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <cstdlib>
 #include <functional>
+#include <set>
 
+#include "front/cloud.h"
+#include "front/levels.h"
 #include "front/membership.h"
 #include "front/runner.h"
-#include "shard/roster.h"
 
 namespace shunt::front {
 namespace {
@@ -25,7 +27,7 @@
 void Roster::drop(std::string machine) {
   post([this, machine = std::move(machine)] {
     wishes_.insert_or_assign(
-        machine, fleet::RosterWish{fleet::RosterWish::drop, {machine, {}, {}, false, 0, 0}});
+        machine, fleet::RosterWish{fleet::RosterWish::drop, {machine, {}, {}, false, 0, 0, 0}, 0});
   });
 }
 
@@ -53,75 +55,28 @@
 }
 
 void Roster::pump() {
-  const double now = loop_.now();
-  const state::World& world = parts_.store->world();
-  if (!parts_.store->loaded() || out_ || now < after_) return;
-  for (auto& r : parts_.runners)
-    if (r->desk())
-      for (auto& w : r->desk()->roster_wishes()) {
-        const std::string name = w.machine.name;
-        wishes_.insert_or_assign(name, std::move(w));
-      }
+  if (!parts_.store->loaded() || out_ || loop_.now() < after_ || !parts_.levels->serves()) return;
+  gather();
   wire::Txn t;
-  std::map<int, std::vector<std::string>> pages;
-  for (const auto& [name, w] : wishes_) pages[state::roster_page(name)].push_back(name);
   const std::string tag = parts_.membership->tag('m', ++tags_);
   const state::Room size = parts_.state.limits().present();
+  std::map<int, std::vector<std::string>> pages;
+  for (const auto& [name, w] : wishes_) pages[state::roster_page(name)].push_back(name);
   for (const auto& [page, names] : pages) {
     if (t.ops.size() >= std::min(kPagesPerTxn, size.ops)) break;
-    shard::RosterPage here(world, page);
-    std::vector<std::pair<std::string, std::uint64_t>> owners;
-    bool changed = false;
-    for (const auto& name : names) {
-      const fleet::RosterWish& w = wishes_.at(name);
-      const wire::MachineRecord* m = here.find(name);
-      bool over = false;
-      switch (w.kind) {
-        case fleet::RosterWish::add:
-          over = m != nullptr;  // here already, perhaps as another's
-          if (!over) here.set(w.machine);
-          break;
-        case fleet::RosterWish::drop:
-          over = m == nullptr;
-          if (!over) here.drop(name);
-          break;
-        case fleet::RosterWish::give: {
-          // Only its shard's owner gives a machine away, and only while it is the owner.
-          over = !m || m->shard == w.machine.shard || m->shard >= parts_.settings.shards();
-          if (over) break;
-          const fleet::Desk* giver = parts_.runner(m->shard).desk();
-          over = !giver || !giver->has_machine(name);
-          if (over) break;
-          owners.emplace_back(state::owner_key(m->shard), giver->token());
-          wire::MachineRecord given = *m;
-          given.shard = w.machine.shard;
-          given.token = giver->token();
-          here.set(given);
-          break;
-        }
-      }
-      if (over)
-        wishes_.erase(name);
-      else
-        changed = true;
-    }
-    if (!changed) continue;
-    wire::Txn mine = here.changes(size.value_bytes, tag);
-    for (const auto& g : owners)
-      if (std::find(mine.guards.begin(), mine.guards.end(), g) == mine.guards.end())
-        mine.guards.push_back(g);
-    // A page that has to be parted takes several changes; another one may have room beside it.
-    if (t.ops.size() + mine.ops.size() > size.ops ||
-        t.guards.size() + mine.guards.size() > size.guards)
-      continue;
-    for (auto& g : mine.guards)
-      if (std::find(t.guards.begin(), t.guards.end(), g) == t.guards.end())
-        t.guards.push_back(std::move(g));
-    for (auto& op : mine.ops) t.ops.push_back(std::move(op));
+    shard::RosterPage here(parts_.store->world(), page);
+    Guards owners;
+    if (carry_out(here, names, owners)) add(t, here, std::move(owners), size, tag);
+  }
+  // Conversion takes what the rate leaves over.
+  auto urgency = state::Urgency::work;
+  if (t.ops.empty() && parts_.levels->converts()) {
+    urgency = state::Urgency::sweep;
+    convert(t, size, tag);
   }
   if (t.ops.empty()) return;
   out_ = true;
-  parts_.store->settle(std::move(t), state::Urgency::work, 3,
+  parts_.store->settle(std::move(t), urgency, 3,
                        reply<state::CommitResult>([this](state::CommitResult c) {
                          out_ = false;
                          // Lost a race, or not known: what was read since decides anew. Nodes that
@@ -131,4 +86,89 @@
                        }));
 }
 
+void Roster::gather() {
+  const double now = loop_.now();
+  for (auto& r : parts_.runners)
+    if (r->desk())
+      for (auto& w : r->desk()->roster_wishes()) {
+        const std::string name = w.machine.name;
+        if (w.kind == fleet::RosterWish::add)
+          w.machine.rented_at = loop_.wall_now() - (now - w.rented_at);
+        wishes_.insert_or_assign(name, std::move(w));
+      }
+}
+
+// Wishes for one page's machines; what is over by now is forgotten. True if something is left.
+bool Roster::carry_out(shard::RosterPage& here, const std::vector<std::string>& names,
+                       Guards& owners) {
+  bool changed = false;
+  for (const auto& name : names) {
+    const fleet::RosterWish& w = wishes_.at(name);
+    const wire::MachineRecord* m = here.find(name);
+    bool over = false;
+    switch (w.kind) {
+      case fleet::RosterWish::add:
+        over = m != nullptr;  // here already, perhaps as another's
+        if (!over) here.set(w.machine);
+        break;
+      case fleet::RosterWish::drop:
+        over = m == nullptr;
+        if (!over) here.drop(name);
+        break;
+      case fleet::RosterWish::give: {
+        // Only its shard's owner gives a machine away, and only while it is the owner.
+        over = !m || m->shard == w.machine.shard || m->shard >= parts_.settings.shards();
+        if (over) break;
+        const fleet::Desk* giver = parts_.runner(m->shard).desk();
+        over = !giver || !giver->has_machine(name);
+        if (over) break;
+        owners.emplace_back(state::owner_key(m->shard), giver->token());
+        wire::MachineRecord given = *m;
+        given.shard = w.machine.shard;
+        given.token = giver->token();
+        here.set(given);
+        break;
+      }
+    }
+    if (over)
+      wishes_.erase(name);
+    else
+      changed = true;
+  }
+  return changed;
+}
+
+// Puts a page's changes into the transaction, if there is room for them.
+void Roster::add(wire::Txn& t, shard::RosterPage& here, Guards owners, const state::Room& size,
+                 const std::string& tag) {
+  here.know_ages([this](const std::string& name) { return parts_.cloud->rented_at(name); });
+  wire::Txn mine = here.changes(size.value_bytes, tag);
+  for (auto& g : owners) mine.guards.push_back(std::move(g));
+  std::erase_if(mine.guards, [&](const auto& g) {
+    return std::find(t.guards.begin(), t.guards.end(), g) != t.guards.end();
+  });
+  // A page that has to be parted takes several changes; another one may have room beside it.
+  if (t.ops.size() + mine.ops.size() > size.ops ||
+      t.guards.size() + mine.guards.size() > size.guards)
+    return;
+  for (auto& g : mine.guards)
+    if (std::find(t.guards.begin(), t.guards.end(), g) == t.guards.end())
+      t.guards.push_back(std::move(g));
+  for (auto& op : mine.ops) t.ops.push_back(std::move(op));
+}
+
+// Pages that stand in another form than the active level's. Each transaction brings a few over; one
+// that fails, or whose node dies, leaves them as they were.
+void Roster::convert(wire::Txn& t, const state::Room& size, const std::string& tag) {
+  const state::World& world = parts_.store->world();
+  std::set<int> bases;  // parts of a page come over together
+  for (int page : world.roster_to_convert()) {
+    if (t.ops.size() >= std::min(kPagesPerTxn, size.ops)) break;
+    if (!bases.insert(state::roster_base(page)).second) continue;
+    shard::RosterPage here(world, state::roster_base(page));
+    here.convert();
+    add(t, here, {}, size, tag);
+  }
+}
+
 }  // namespace shunt::front
--- a/src/front/roster.h
+++ b/src/front/roster.h
@@ -7,6 +7,7 @@
 #include "fleet/desk.h"
 #include "front/parts.h"
 #include "front/store.h"
+#include "shard/roster.h"
 
 namespace shunt::front {
 
@@ -21,7 +22,13 @@
 
  private:
   void take_in(const wire::MachineRecord& found);
+  using Guards = std::vector<std::pair<std::string, std::uint64_t>>;
   void pump();
+  void gather();
+  bool carry_out(shard::RosterPage& here, const std::vector<std::string>& names, Guards& owners);
+  void add(wire::Txn& t, shard::RosterPage& here, Guards owners, const state::Room& size,
+           const std::string& tag);
+  void convert(wire::Txn& t, const state::Room& size, const std::string& tag);
 
   Parts& parts_;
   std::map<std::string, fleet::RosterWish> wishes_;  // by machine
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/spdlog.h>
 
 #include "front/cloud.h"
+#include "front/levels.h"
 #include "front/membership.h"
 #include "front/outcomes.h"
 
@@ -159,6 +160,10 @@
   if (!store.loaded() || parts_.cloud->catalogue().empty()) return;
   const state::World& world = store.world();
   const double now = loop_.now();
+  if (!parts_.levels->serves()) {
+    if (desk_) close();
+    return;
+  }
   if (desk_ && world.owner(shard_).stamp != desk_->token()) {
     const auto& o = world.owner(shard_);
     if (o.node == parts_.settings.self && o.tag == raise_tag_)
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "front/cloud.h"
+#include "front/levels.h"
 #include "front/membership.h"
 #include "front/outcomes.h"
 #include "front/peers.h"
@@ -33,6 +34,8 @@
 
 void Users::route(const ExchangePtr& ex) {
   const std::string& p = ex->path;
+  // A build that cannot read what stands tells nobody anything.
+  if (!parts_.levels->serves()) return ex->send(later());
   if (p == "/up") return up(ex);
   if (p == "/v2/runs" && ex->post) return submit(ex);
   if (p.starts_with("/v2/runs/")) {
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "front/cloud.h"
+#include "front/levels.h"
 #include "front/roster.h"
 #include "front/runner.h"
 #include "wire/codec.h"
@@ -22,6 +23,22 @@
   return shard;
 }
 
+// A node whose build can do with the state as it stands: the owner of the shard, if it is known.
+std::string Workers::able(int shard) const {
+  const state::World& world = parts_.store->world();
+  const levels::View& v = world.levels();
+  auto fit = [&](int n) {
+    if (n < 0 || n == parts_.settings.self) return false;
+    const auto& m = v.members[static_cast<std::size_t>(n)];
+    return m.stamp != 0 && levels::refusal(v, m.build).empty();
+  };
+  if (shard >= 0 && shard < parts_.settings.shards() && fit(world.owner(shard).node))
+    return parts_.settings.nodes[static_cast<std::size_t>(world.owner(shard).node)];
+  for (int n = 0; n < parts_.settings.shards(); ++n)
+    if (fit(n)) return parts_.settings.nodes[static_cast<std::size_t>(n)];
+  return {};
+}
+
 void Workers::take(const net::ExchangePtr& ex) {
   wire::Report r;
   try {
@@ -35,11 +52,12 @@
   // of cancellations: it must let the leases run out.
   if (!parts_.store->fresh(parts_.settings.stale_s())) return ex->send({503, "{}", 0});
   const int shard = shard_of(r.machine);
+  if (!parts_.levels->serves()) return ex->send({421, wire::encode_redirect(able(shard)), 0});
   if (shard < 0) {
     if (parts_.cloud->removed(r.machine)) return ex->send({503, "{}", 0});
     // Nobody's: adopted. Nothing can have been placed on what the roster does not hold.
     parts_.cloud->met(r.machine, r.addr);
-    parts_.roster->adopt({r.machine, r.type, r.zone, r.spot, 0, 0});
+    parts_.roster->adopt({r.machine, r.type, r.zone, r.spot, 0, 0, 0});
     return ex->send({503, "{}", 0});
   }
   if (shard >= parts_.settings.shards()) return ex->send({503, "{}", 0});
--- a/src/front/workers.h
+++ b/src/front/workers.h
@@ -16,6 +16,7 @@
  private:
   void take(const net::ExchangePtr& ex);
   int shard_of(const std::string& machine) const;  // -1: nobody's
+  std::string able(int shard) const;
 
   Parts& parts_;
   std::uint64_t garbage_ = 0;
--- a/src/local/door.cpp
+++ b/src/local/door.cpp
@@ -127,7 +127,9 @@
   }
   p.controller = c;
   const Backend& b = controllers_[static_cast<std::size_t>(c)];
-  connect(p, path.starts_with("/metrics") ? b.internal : b.front);
+  // What operators ask for, on the set's one address.
+  const bool inside = path.starts_with("/metrics") || path == "/levels";
+  connect(p, inside ? b.internal : b.front);
 }
 
 void Door::connect(Pass& p, const config::Endpoint& to) {
--- a/src/shard/roster.cpp
+++ b/src/shard/roster.cpp
@@ -9,7 +9,11 @@
 bool by_name(const wire::MachineRecord& a, const wire::MachineRecord& b) { return a.name < b.name; }
 }  // namespace
 
-RosterPage::RosterPage(const state::World& world, int page) : world_(world), page_(page) {
+RosterPage::RosterPage(const state::World& world, int page)
+    : world_(world),
+      gate_(world.levels()),
+      form_(gate_.on(levels::Feature::machine_ages) ? 1 : 0),
+      page_(page) {
   for (int i = 0; i < state::kRosterParts; ++i) {
     int n = state::roster_part(page, i);
     // Parts are begun in order; one may have been emptied since.
@@ -17,6 +21,7 @@
     parts_.resize(static_cast<std::size_t>(i) + 1);
     parts_.back().machines = world.roster(n);
     std::sort(parts_.back().machines.begin(), parts_.back().machines.end(), by_name);
+    parts_.back().form = world.roster_pages(1).contains(n) ? 1 : 0;
   }
 }
 
@@ -50,11 +55,24 @@
     if (std::erase_if(p.machines, [&](const auto& m) { return m.name == name; })) p.changed = true;
 }
 
+void RosterPage::convert() {
+  for (std::size_t i = 0; i < parts_.size(); ++i) {
+    const std::string key = state::roster_key(state::roster_part(page_, static_cast<int>(i)));
+    parts_[i].changed |= parts_[i].form != form_ && world_.stamp(key) != 0;
+  }
+}
+
+void RosterPage::know_ages(const std::function<double(const std::string&)>& rented_at) {
+  for (Part& p : parts_)
+    for (auto& m : p.machines)
+      if (m.rented_at == 0) m.rented_at = rented_at(m.name);
+}
+
 wire::Txn RosterPage::changes(std::size_t value_bytes, const std::string& tag) {
   wire::Txn t;
   const std::size_t begun = parts_.size();
   auto text = [&](const Part& p) {
-    return wire::encode_record(wire::RosterRecord{tag, p.machines});
+    return wire::encode_record(wire::RosterRecord{tag, p.machines, form_});
   };
   for (std::size_t i = 0; i < parts_.size(); ++i)
     while (parts_[i].changed && parts_[i].machines.size() > 1 &&
@@ -72,6 +90,7 @@
       if (to >= static_cast<std::size_t>(state::kRosterParts)) return {};
       put(to, m);
     }
+  t.guards.push_back(gate_.guard());
   // Further parts come first: whoever reads change by change sees no machine leave.
   for (std::size_t i = parts_.size(); i-- > 0;) {
     const std::string key = state::roster_key(state::roster_part(page_, static_cast<int>(i)));
--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -20,14 +20,17 @@
   for (char c : machine) sum = (sum * 31 + static_cast<unsigned char>(c)) % 64;
   return kOdd + sum;
 }
-int roster_part(int page, int part) { return page + part * (1 << 26); }
+constexpr int kPart = 1 << 26;  // beyond every page's number
+int roster_part(int page, int part) { return page + part * kPart; }
+int roster_base(int part) { return part % kPart; }
 std::string sheet_key(int shard, int sheet) {
   return "st/a/" + std::to_string(shard) + "/" + std::to_string(sheet);
 }
 std::string final_key(const std::string& id) { return "fin/" + id; }
 
-World::World(const config::Settings& s)
-    : settings_(s), sheets_(s.shards()), owners_(s.shards()), nodes_(s.shards(), 0) {}
+World::World(const config::Settings& s) : settings_(s), sheets_(s.shards()), owners_(s.shards()) {
+  levels_.members.resize(static_cast<std::size_t>(s.shards()));
+}
 
 std::uint64_t World::stamp(const std::string& key) const {
   auto it = stamps_.find(key);
@@ -142,8 +145,17 @@
         waiting_[rest] = {wire::decode_job_record(e), e.stamp};
         changes.push_back({Change::waiting_set, rest, -1});
         break;
-      case 'm':
-        roster(std::atoi(rest.c_str()), wire::decode_roster(e).machines, changes);
+      case 'm': {
+        const int page = std::atoi(rest.c_str());
+        wire::RosterRecord r = wire::decode_roster(e);
+        for (auto& pages : pages_by_form_) pages.erase(page);
+        pages_by_form_[static_cast<std::size_t>(r.form)].insert(page);
+        roster(page, std::move(r.machines), changes);
+        break;
+      }
+      case 'l':
+        level_set(e);
+        changes.push_back({Change::level, rest, -1});
         break;
       case 'a': {
         auto slash = rest.find('/');
@@ -164,7 +176,7 @@
       case 'n': {
         int n = settings_.node_index(rest);
         if (n < 0) break;
-        nodes_[n] = e.stamp;
+        levels_.members[static_cast<std::size_t>(n)] = {e.stamp, levels::decode_member(e)};
         changes.push_back({Change::node, rest, n});
         break;
       }
@@ -188,8 +200,13 @@
       if (waiting_.erase(rest)) changes.push_back({Change::waiting_gone, rest, -1});
       break;
     case 'm':
+      for (auto& pages : pages_by_form_) pages.erase(std::atoi(rest.c_str()));
       roster(std::atoi(rest.c_str()), {}, changes);
       break;
+    case 'l':
+      level_gone(key);
+      changes.push_back({Change::level, rest, -1});
+      break;
     case 'a': {
       auto slash = rest.find('/');
       int shard = std::atoi(rest.c_str());
@@ -207,7 +224,7 @@
     case 'n': {
       int n = settings_.node_index(rest);
       if (n < 0) break;
-      nodes_[n] = 0;
+      levels_.members[static_cast<std::size_t>(n)] = {};
       changes.push_back({Change::node, rest, n});
       break;
     }
@@ -216,6 +233,50 @@
   }
 }
 
+int World::roster_form() const {
+  return levels::Gate(levels_).on(levels::Feature::machine_ages) ? 1 : 0;
+}
+double World::converted() const {
+  const auto right = static_cast<double>(roster_pages(roster_form()).size());
+  const auto wrong = static_cast<double>(roster_to_convert().size());
+  return right + wrong > 0 ? right / (right + wrong) : 1;
+}
+
+// A record that cannot be read is not passed over as other garbage is: it may say that nothing that
+// stands can be read rightly by this build.
+void World::level_set(const wire::Event& e) {
+  if (e.key == levels::kActiveKey) {
+    levels_.stamp = e.stamp;
+    levels_.unreadable.clear();
+    try {
+      levels_.record = levels::decode_record(e);
+    } catch (const wire::Malformed& x) {
+      levels_.unreadable = x.what();
+      ++garbage_;
+    }
+  } else if (e.key == levels::kOrdersKey) {
+    levels_.orders_stamp = e.stamp;
+    levels_.orders_unreadable = false;
+    try {
+      levels_.orders = levels::decode_orders(e);
+    } catch (const wire::Malformed&) {
+      levels_.orders_unreadable = true;
+      ++garbage_;
+    }
+  }
+}
+void World::level_gone(const std::string& key) {
+  if (key == levels::kActiveKey) {
+    levels_.record = {};
+    levels_.stamp = 0;
+    levels_.unreadable.clear();
+  } else if (key == levels::kOrdersKey) {
+    levels_.orders = {};
+    levels_.orders_stamp = 0;
+    levels_.orders_unreadable = false;
+  }
+}
+
 // A page of the roster as it is now: only what differs is news.
 void World::roster(int page, std::vector<wire::MachineRecord> now, std::vector<Change>& changes) {
   std::vector<std::string> names;
--- a/src/state/world.h
+++ b/src/state/world.h
@@ -1,12 +1,15 @@
 // The cache of everything under the root prefix of the state service, typed. Pure.
 #pragma once
+#include <array>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "config/settings.h"
+#include "levels/levels.h"
 #include "wire/codec.h"
 
 namespace shunt::state {
@@ -23,6 +26,7 @@
 // A page too long for one value has further parts, each under a key of its own.
 inline constexpr int kRosterParts = 16;
 int roster_part(int page, int part);  // part 0: the page itself
+int roster_base(int part);            // the page that it is a part of
 std::string sheet_key(int shard, int sheet);
 std::string final_key(const std::string& id);  // outside the root: not kept in memory
 
@@ -46,7 +50,8 @@
     machine_set,
     machine_gone,
     owner,
-    node
+    node,
+    level  // the active level, or the orders about it
   } kind;
   std::string name;
   int index = -1;
@@ -70,11 +75,24 @@
   const JobEntry* waiting(const std::string& id) const;  // awaits others
   const wire::MachineRecord* machine(const std::string& name) const;
   const OwnerEntry& owner(int shard) const { return owners_[shard]; }
-  std::uint64_t node_stamp(int node) const { return nodes_[node]; }  // 0: not alive
+  std::uint64_t node_stamp(int node) const {  // 0: not alive
+    return levels_.members[static_cast<std::size_t>(node)].stamp;
+  }
+  const levels::View& levels() const { return levels_; }
+  // Of what stands, the share that has the active level's form.
+  double converted() const;
+  // All of it, and everything that was written before the level changed has been read.
+  bool all_converted() const { return revision_ >= levels_.stamp && converted() >= 1; }
   const std::map<std::string, JobEntry>& jobs() const { return jobs_; }
   const std::map<std::string, JobEntry>& waiting() const { return waiting_; }
   const std::map<std::string, wire::MachineRecord>& machines() const { return machines_; }
   std::vector<wire::MachineRecord> roster(int page) const;
+  // Pages and parts of pages that stand in this form (0 or 1), or in another than the active
+  // level's.
+  const std::set<int>& roster_pages(int form) const {
+    return pages_by_form_[static_cast<std::size_t>(form)];
+  }
+  const std::set<int>& roster_to_convert() const { return roster_pages(1 - roster_form()); }
   const std::map<int, wire::SheetRecord>& sheets(int shard) const { return sheets_[shard]; }
   // A job's finished intervals by chunk, relative to the chunk's start: all that any sheet holds,
   // since what is done stays so. They may overlap.
@@ -102,8 +120,12 @@
   std::vector<std::map<int, wire::SheetRecord>> sheets_;
   const wire::SheetJob* find(const wire::SheetRecord& r, const std::string& id) const;
   void roster(int page, std::vector<wire::MachineRecord> now, std::vector<Change>& changes);
+  int roster_form() const;
+  void level_set(const wire::Event& e);
+  void level_gone(const std::string& key);
   std::vector<OwnerEntry> owners_;
-  std::vector<std::uint64_t> nodes_;
+  levels::View levels_;
+  std::array<std::set<int>, 2> pages_by_form_;
   std::uint64_t garbage_ = 0;
 };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -108,19 +108,6 @@
   return out;
 }
 
-// The value of an event, parsed once only.
-template <class F>
-auto of_value(const Event& e, F f) {
-  if (!e.parsed) return guarded(e.value ? std::string_view(*e.value) : std::string_view(), f);
-  try {
-    const json& j = *static_cast<const json*>(e.parsed.get());
-    if (!j.is_object()) throw Malformed("not an object");
-    return f(j);
-  } catch (const json::exception& x) {
-    throw Malformed(x.what());
-  }
-}
-
 }  // namespace
 
 bool valid_job_id(std::string_view id) {
@@ -409,11 +396,37 @@
   });
 }
 
+namespace {
+// When machines were rented, in whole seconds after the first of them, in the order of their names;
+// null where it is not known.
+json ages_json(const RosterRecord& r, const json& machines) {
+  std::map<std::string, double> at;
+  double base = 0;
+  for (const auto& m : r.machines) {
+    at[m.name] = m.rented_at;
+    if (m.rented_at > 0 && (base == 0 || m.rented_at < base)) base = m.rented_at;
+  }
+  const auto first = static_cast<std::uint64_t>(base);
+  json after = json::array();
+  for (auto it = machines.begin(); it != machines.end(); ++it) {
+    double t = at[it.key()];
+    if (t > 0)
+      after.push_back(static_cast<std::uint64_t>(t) - first);
+    else
+      after.push_back(nullptr);
+  }
+  return {first, std::move(after)};
+}
+}  // namespace
+
 std::string encode_record(const RosterRecord& r) {
   json machines = json::object();
   for (const auto& m : r.machines)
     machines[m.name] = json::array({m.type, m.zone, m.spot ? 1 : 0, m.shard, m.token});
-  return json{{"w", r.tag}, {"m", std::move(machines)}}.dump();
+  json out = {{"w", r.tag}};
+  if (r.form >= 1) out["t"] = ages_json(r, machines);
+  out["m"] = std::move(machines);
+  return out.dump();
 }
 RosterRecord decode_roster(const Event& e) {
   return of_value(e, [](const json& j) {
@@ -430,6 +443,16 @@
                             as_whole(l[2], "spot") != 0, static_cast<int>(shard),
                             as_whole(l[4], "token")});
     }
+    if (const json* t = find(j, "t")) {
+      r.form = 1;
+      if (!t->is_array() || t->size() != 2 || !(*t)[1].is_array() ||
+          (*t)[1].size() != r.machines.size())
+        throw Malformed("t is bad");
+      const std::uint64_t first = as_whole((*t)[0], "t");
+      for (std::size_t i = 0; i < r.machines.size(); ++i)
+        if (const json& after = (*t)[1][i]; !after.is_null())
+          r.machines[i].rented_at = static_cast<double>(first + as_whole(after, "t"));
+    }
     return r;
   });
 }
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -115,4 +115,17 @@
   }
 }
 
+// The value of an event, parsed once only.
+template <class F>
+auto of_value(const Event& e, F f) {
+  if (!e.parsed) return guarded(e.value ? std::string_view(*e.value) : std::string_view(), f);
+  try {
+    const json& j = *static_cast<const json*>(e.parsed.get());
+    if (!j.is_object()) throw Malformed("not an object");
+    return f(j);
+  } catch (const json::exception& x) {
+    throw Malformed(x.what());
+  }
+}
+
 }  // namespace shunt::wire
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -119,12 +119,14 @@
   bool spot = false;
   int shard = 0;
   std::uint64_t token = 0;  // of the owner that wrote it: the worker may have seen it
+  double rented_at = 0;     // time of day, seconds; 0: not known
   friend bool operator==(const MachineRecord&, const MachineRecord&) = default;
 };
 // Many machines share a key: a fleet's start must not cost a change a machine.
 struct RosterRecord {
   std::string tag;  // names the transaction that wrote it
   std::vector<MachineRecord> machines;
+  int form = 0;  // the state level whose form it has: 0, or 1 (it tells when machines were rented)
 };
 // Where a job's tasks may run, and which of its tasks are done, as [first,last] by chunk.
 using Intervals = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
