The desk is divided into machines, placements, sheets and waiting lists

Change: Machines (which there are, what they can take, rents and returns, the idle wait), Placements (what may run where, proofs, commands, direct orders, the token), Sheets (what is committed), Waiting (lists, the chain, preemption). Desk hands what comes to those whom it concerns. A machine's record has a part for each owner, in a header of its own. Nothing decides anew.

--- /dev/null
+++ b/src/fleet/catalogue.h
@@ -0,0 +1,30 @@
+// Machine types as the cloud lists them. Pure.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "jobs/job.h"
+#include "wire/types.h"
+
+namespace shunt::fleet {
+
+// Machine types, names mapped to dense indices, with the tiers in order of price. A tier is a
+// type and a kind (spot or ordinary).
+struct Catalogue {
+  struct Type {
+    wire::MachineType spec;
+    jobs::Amount room;
+    std::vector<bool> in_zone;
+  };
+  std::vector<Type> types;
+  std::vector<int> tier_order;  // tier id = 2 * type + spot
+  double base_rate = 0;         // cheapest tier's price a second
+
+  void load(const std::vector<wire::MachineType>& list, const config::Settings& s);
+  int type_index(const std::string& name) const;
+  double rate(int tier) const;  // price a second
+  bool empty() const { return types.empty(); }
+};
+
+}  // namespace shunt::fleet
--- /dev/null
+++ b/src/fleet/machines.cpp
@@ -0,0 +1,342 @@
+#include "fleet/machines.h"
+
+#include <algorithm>
+
+namespace shunt::fleet {
+
+using jobs::Amount;
+using jobs::Job;
+
+namespace {
+constexpr std::size_t kImagesKept = 8;  // where a type does not tell its cache
+constexpr double kRefusedFor = 15;      // before asking again where the cloud had none
+constexpr std::size_t kRentMost = 50;   // machines a request
+constexpr double kFaultPause = 5;       // before a machine that failed a task gets another
+}  // namespace
+
+double share_of(const Amount& a, const Amount& one) {
+  double s = one.cpus > 0 ? static_cast<double>(a.cpus) / static_cast<double>(one.cpus) : 0;
+  return one.mem > 0 ? std::max(s, static_cast<double>(a.mem) / static_cast<double>(one.mem)) : s;
+}
+
+Machine* Machines::find(const std::string& name) {
+  auto it = by_name_.find(name);
+  return it == by_name_.end() ? nullptr : at(it->second);
+}
+Machine* Machines::at(int number) {
+  const auto n = static_cast<std::size_t>(number);
+  return n < by_number_.size() ? by_number_[n] : nullptr;
+}
+Machine& Machines::add() {
+  auto m = std::make_unique<Machine>();
+  m->number = next_number_++;
+  Machine& out = *m;
+  all_.emplace_back(out.number, std::move(m));
+  by_number_.resize(static_cast<std::size_t>(next_number_), nullptr);
+  by_number_[static_cast<std::size_t>(out.number)] = &out;
+  return out;
+}
+void Machines::erase(int number) {
+  Machine* m = at(number);
+  if (!m) return;
+  if (!m->name.empty()) by_name_.erase(m->name);
+  by_number_[static_cast<std::size_t>(number)] = nullptr;
+  all_.erase(std::lower_bound(all_.begin(), all_.end(), number,
+                              [](const auto& a, int n) { return a.first < n; }));
+}
+
+bool Machines::known(const wire::MachineRecord& r, double now) {
+  if (Machine* here = find(r.name)) {
+    here->rostered = true;
+    return false;
+  }
+  Machine& m = add();
+  m.name = r.name;
+  m.type = common_.catalogue.type_index(r.type);
+  m.zone = common_.settings.zone_index(r.zone);
+  m.spot = r.spot;
+  m.rostered = true;
+  m.state = Machine::booting;
+  m.rented_at = m.last_report = m.last_answer = now;
+  by_name_[r.name] = m.number;
+  // A type or zone that is not known any more: its tasks are let go of, then it is returned.
+  if (m.type < 0 || m.zone < 0) m.leaving = true;
+  return true;
+}
+
+// ---- what it can take
+
+Amount Machines::room(const Machine& m) const {
+  return m.type < 0 ? Amount{} : common_.catalogue.types[m.type].room - m.placed.used;
+}
+bool Machines::warm(const Machine& m, int image) {
+  return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
+}
+bool Machines::type_ok(const Job& j, int type, bool spot) const {
+  if (type < 0 || (spot && !j.spec.spot)) return false;
+  const auto& t = common_.catalogue.types[type];
+  if (j.spec.types &&
+      std::find(j.spec.types->begin(), j.spec.types->end(), t.spec.name) == j.spec.types->end())
+    return false;
+  return j.need.fits(t.room);
+}
+bool Machines::usable(const Machine& m, const Job& j, double now) const {
+  if (m.leaving || m.draining || m.avoid_until > now || m.zone < 0) return false;
+  if (!type_ok(j, m.type, m.spot)) return false;
+  if (j.spec.zone && common_.settings.zone_index(*j.spec.zone) != m.zone) return false;
+  return j.zone_ok(m.zone);
+}
+int Machines::pick_zone(const Job& j, int tier, double now) const {
+  const auto& settings = common_.settings;
+  const auto& type = common_.catalogue.types[tier / 2];
+  std::vector<int> have(settings.zones.size(), 0);
+  for (const auto& [n, m] : all_)
+    if (m->zone >= 0) ++have[m->zone];
+  int best = -1;
+  for (std::size_t z = 0; z < settings.zones.size(); ++z) {
+    int zone = static_cast<int>(z);
+    if (!type.in_zone[z] || !j.zone_ok(zone)) continue;
+    if (j.spec.zone && settings.zone_index(*j.spec.zone) != zone) continue;
+    auto r = refused_until_.find({tier, zone});
+    if (r != refused_until_.end() && r->second > now) continue;
+    if (best < 0 || have[z] < have[best]) best = zone;
+  }
+  return best;
+}
+
+// ---- what is heard of it
+
+bool Machines::heard(Machine& m, const wire::Report& r, bool new_session, double now) {
+  m.addr = r.addr;
+  m.last_report = now;
+  if (m.state != Machine::up) {
+    m.state = Machine::up;
+    m.idle_since = now;
+    common_.stirred = true;
+  }
+  if (new_session) m.images.clear();
+  m.notice_s = r.notice_s;
+  if (!r.notice_s || m.draining) return false;
+  m.draining = true;
+  return true;
+}
+// A machine caches the most recently used images, as many as it has room for. Remembering fewer
+// would send tasks to fetch what lies ready elsewhere.
+void Machines::note_image(Machine& m, int image) {
+  if (!m.images.empty() && m.images.back() == image) return;
+  std::erase(m.images, image);
+  m.images.push_back(image);
+  auto gb = [&](int i) { return common_.image_gb[static_cast<std::size_t>(i)]; };
+  const double room = m.type < 0 ? 0 : common_.catalogue.types[m.type].spec.cache_gb;
+  double sum = 0;
+  for (int i : m.images) sum += gb(i);
+  while (m.images.size() > (room > 0 ? 1 : kImagesKept) && (room <= 0 || sum > room)) {
+    sum -= gb(m.images.front());
+    m.images.erase(m.images.begin());
+  }
+}
+void Machines::note_idle(Machine& m, double now) {
+  bool idle = m.state == Machine::up && m.placed.list.empty() && m.queue.items.empty();
+  if (idle && !m.was_idle) m.idle_since = now;
+  m.was_idle = idle;
+}
+// A machine that fails the tasks of several jobs is at fault and is replaced.
+void Machines::task_failed(Machine& m, const std::string& job, double now) {
+  ++m.faults;
+  m.faulty_for.insert(job);
+  m.avoid_until = now + kFaultPause;
+  if (m.faulty_for.size() >= 2) m.leaving = true;
+}
+void Machines::task_done(Machine& m) {
+  m.faults = 0;
+  m.faulty_for.clear();
+}
+bool Machines::lose(Machine& m) {
+  if (m.lost) return false;
+  m.leaving = m.lost = true;
+  return true;
+}
+
+// ---- the idle wait
+
+chain::IdleWait& Machines::idle_wait(int tier) {
+  const auto& t = common_.tuning;
+  return idle_.try_emplace(tier, t.idle_start_s, t.lambda, t.idle_cap).first->second;
+}
+void Machines::reused(const Machine& m, double now) {
+  if (!m.was_idle) return;
+  idle_wait(m.tier()).reused(now - m.idle_since, common_.catalogue.types[m.type].spec.boot_s);
+}
+std::vector<double> Machines::waits() const {
+  std::vector<double> k;
+  for (const auto& [tier, wait] : idle_) k.push_back(wait.seconds(0));
+  return k;
+}
+void Machines::return_idle(Machine& m, double now) {
+  if (!m.was_idle || m.leaving) return;
+  const double boot = common_.catalogue.types[m.type].spec.boot_s;
+  if (now - m.idle_since <= idle_wait(m.tier()).seconds(boot)) return;
+  m.leaving = true;
+  last_returned_[m.tier()] = m.idle_since;
+  ++common_.count.returns;
+}
+
+// ---- rents and returns
+
+Machine& Machines::order(int tier, int zone, double now) {
+  Machine& m = add();
+  m.type = tier / 2;
+  m.spot = tier % 2;
+  m.zone = zone;
+  m.rented_at = now;
+  auto last = last_returned_.find(tier);
+  if (last != last_returned_.end()) {
+    idle_wait(tier).missed(now - last->second, common_.catalogue.types[m.type].spec.boot_s);
+    last_returned_.erase(last);
+  }
+  return m;
+}
+
+std::vector<RentWish> Machines::rent_wishes(double now, std::vector<Machine*>& barred) {
+  std::map<std::pair<int, int>, RentWish> groups;
+  for (auto& [n, m] : all_) {
+    if (m->state != Machine::ordered || m->posted) continue;
+    // A later order where the cloud has just said that it has none goes back to the chain.
+    auto r = refused_until_.find({m->tier(), m->zone});
+    if (r != refused_until_.end() && r->second > now) {
+      barred.push_back(m.get());
+      continue;
+    }
+    // One rent a tier and zone at a time: what is wanted meanwhile goes into the next one, since
+    // calls are scarcer than machines.
+    if (asking_.contains({m->tier(), m->zone})) continue;
+    RentWish& w = groups[{m->tier(), m->zone}];
+    if (w.machines.size() >= kRentMost) continue;
+    w.tier = m->tier();
+    w.zone = m->zone;
+    w.machines.push_back(n);
+  }
+  std::vector<RentWish> out;
+  for (auto& [key, w] : groups) {
+    for (int n : w.machines) at(n)->posted = true;
+    asking_.insert(key);
+    out.push_back(std::move(w));
+  }
+  return out;
+}
+
+std::vector<int> Machines::rented(const RentWish& w, const std::vector<std::string>& names,
+                                  double now) {
+  asking_.erase({w.tier, w.zone});
+  std::vector<int> nothing;
+  std::size_t i = 0;
+  for (; i < names.size(); ++i) {
+    Machine* m = i < w.machines.size() ? at(w.machines[i]) : nullptr;
+    if (by_name_.contains(names[i])) {
+      // It reported, and was adopted, before the answer came.
+      if (m) nothing.push_back(m->number);
+      continue;
+    }
+    if (!m) {
+      m = &add();
+      m->type = w.tier / 2;
+      m->spot = w.tier % 2;
+      m->zone = w.zone;
+    }
+    m->name = names[i];
+    m->state = Machine::booting;
+    m->rented_at = m->last_report = m->last_answer = now;
+    by_name_[m->name] = m->number;
+    ++common_.count.rents;
+  }
+  if (i < w.machines.size()) {
+    auto rest = refused(w, i, true, now);
+    nothing.insert(nothing.end(), rest.begin(), rest.end());
+  }
+  common_.stirred = true;
+  return nothing;
+}
+
+std::vector<int> Machines::refused(const RentWish& w, std::size_t from, bool no_capacity,
+                                   double now) {
+  asking_.erase({w.tier, w.zone});
+  if (no_capacity) refused_until_[{w.tier, w.zone}] = now + kRefusedFor;
+  common_.count.refused += w.machines.size() - from;
+  common_.stirred = true;
+  return {w.machines.begin() + static_cast<long>(from), w.machines.end()};
+}
+
+std::vector<std::string> Machines::returns() {
+  std::vector<std::string> out;
+  for (auto& [n, m] : all_) {
+    if (!m->leaving || m->returning || m->name.empty() || (m->giving >= 0 && !m->lost)) continue;
+    // Tasks of a machine that answers are let finish; a lost machine's are not waited for.
+    bool running = false;
+    for (const Placement& p : m->placed.list) running |= !p.reaping;
+    if (running && !m->lost) continue;
+    m->returning = true;
+    out.push_back(m->name);
+  }
+  return out;
+}
+void Machines::return_failed(const std::string& name) {
+  if (Machine* m = find(name)) m->returning = false;
+}
+
+// ---- other shards
+
+// Idle ones at once, then the emptiest ones as soon as their tasks are over. Work spread thinly
+// over a surplus would leave hardly any machine idle.
+std::vector<Machine*> Machines::give(int to, int machines) {
+  for (const auto& [n, m] : all_) machines -= m->giving >= 0;
+  std::vector<Machine*> out, busy;
+  auto send = [&](Machine* m) {
+    m->leaving = true;
+    m->giving = to;
+    --machines;
+    out.push_back(m);
+  };
+  for (auto& [n, m] : all_) {
+    if (m->state != Machine::up || !m->rostered || m->leaving || m->draining || m->type < 0)
+      continue;
+    if (m->was_idle) {
+      if (machines > 0) send(m.get());
+    } else {
+      busy.push_back(m.get());
+    }
+  }
+  if (machines <= 0) return out;
+  std::stable_sort(busy.begin(), busy.end(), [](const Machine* a, const Machine* b) {
+    return a->placed.used.cpus < b->placed.used.cpus;
+  });
+  for (Machine* m : busy) {
+    if (machines <= 0) break;
+    send(m);
+  }
+  return out;
+}
+
+std::vector<RosterWish> Machines::roster_wishes(std::uint64_t token) const {
+  std::vector<RosterWish> out;
+  for (const auto& [n, m] : all_) {
+    if (m->name.empty() || m->type < 0 || m->zone < 0) continue;
+    bool give = m->giving >= 0 && m->rostered && m->placed.list.empty() && m->queue.items.empty();
+    if (m->rostered && !give) continue;
+    out.push_back(
+        {give ? RosterWish::give : RosterWish::add,
+         {m->name, common_.catalogue.types[m->type].spec.name, common_.settings.zones[m->zone],
+          m->spot, give ? m->giving : common_.shard, token, 0},
+         m->rented_at});
+  }
+  return out;
+}
+
+double Machines::capacity(const Amount& one) const {
+  double sum = 0;
+  for (const auto& [n, m] : all_)
+    if (m->type >= 0 && !m->leaving && !m->draining)
+      sum += share_of({common_.catalogue.types[m->type].room.cpus, 0, 0}, one);
+  return sum;
+}
+
+}  // namespace shunt::fleet
--- /dev/null
+++ b/src/fleet/machines.h
@@ -0,0 +1,132 @@
+// The machines of a shard: which there are, what they can take, and how they come and go. Pure.
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/common.h"
+#include "fleet/placed.h"
+#include "fleet/queue.h"
+#include "shard/balance.h"
+#include "wire/types.h"
+
+namespace shunt::fleet {
+
+// A machine, with what may run on it and what waits for it: two parts that are others' to change.
+struct Machine {
+  int number = 0;
+  std::string name, addr;
+  int type = -1, zone = -1;
+  bool spot = false;
+  enum State { ordered, booting, up } state = ordered;
+  bool posted = false;    // ordered: the request is out
+  bool rostered = false;  // the roster holds it: only then may anything be placed on it
+  bool leaving = false;   // to be given back: nothing starts here any more
+  bool returning = false;
+  int giving = -1;        // the shard that it goes to once it is empty
+  bool draining = false;  // spot notice
+  bool lost = false;      // not coming back: its tasks are not waited for
+  std::optional<double> notice_s;
+  double rented_at = 0, last_report = 0, last_answer = 0, idle_since = 0;
+  bool was_idle = false;
+  std::set<std::string> faulty_for;
+  int faults = 0;
+  double avoid_until = 0;
+  std::vector<int> images;  // as cached, the latest used last
+  int tier() const { return 2 * type + (spot ? 1 : 0); }
+  // Something may be placed here, as far as the machine itself goes.
+  bool open(double now) const { return state == up && !leaving && !draining && avoid_until <= now; }
+
+  Placed placed;
+  Queue queue;
+};
+
+struct RentWish {
+  int tier = 0, zone = 0;
+  std::vector<int> machines;  // ordered machines, by number
+};
+
+// A change of the roster that the desk asks for.
+struct RosterWish {
+  enum Kind { add, give, drop } kind = add;
+  wire::MachineRecord machine;
+  double rented_at = 0;  // add: by the steady clock
+};
+
+class Machines {
+ public:
+  using Ptr = std::unique_ptr<Machine>;
+  explicit Machines(Common& common) : common_(common) {}
+
+  // In the order they were rented: the chain's order.
+  const std::vector<std::pair<int, Ptr>>& all() const { return all_; }
+  Machine* find(const std::string& name);
+  Machine* at(int number);
+  bool contains(const std::string& name) const { return by_name_.contains(name); }
+  std::size_t named() const { return by_name_.size(); }
+
+  // The roster holds it under this shard. True if it is new here.
+  bool known(const wire::MachineRecord& r, double now);
+  // Nothing is on it, and nothing waits for it.
+  void erase(int number);
+
+  jobs::Amount room(const Machine& m) const;
+  static bool warm(const Machine& m, int image);
+  bool type_ok(const jobs::Job& j, int type, bool spot) const;
+  bool usable(const Machine& m, const jobs::Job& j, double now) const;
+  int pick_zone(const jobs::Job& j, int tier, double now) const;  // to rent in; -1: none
+
+  // What reports say of the machine itself. True: it has just had notice that it will be taken.
+  bool heard(Machine& m, const wire::Report& r, bool new_session, double now);
+  void note_image(Machine& m, int image);
+  void note_idle(Machine& m, double now);
+  void task_failed(Machine& m, const std::string& job, double now);
+  void task_done(Machine& m);
+  static void avoid(Machine& m, double until) { m.avoid_until = std::max(m.avoid_until, until); }
+  // It is not coming back. False: that was known.
+  bool lose(Machine& m);
+
+  // The learned wait k of a tier (DESIGN point 7).
+  chain::IdleWait& idle_wait(int tier);
+  void reused(const Machine& m, double now);  // work comes to it, perhaps after it has idled
+  std::vector<double> waits() const;
+  // Idle for longer than k: to be returned.
+  void return_idle(Machine& m, double now);
+
+  // A rent that the chain asks for.
+  Machine& order(int tier, int zone, double now);
+  // Grouped; `barred`: orders where the cloud has just said that it has none.
+  std::vector<RentWish> rent_wishes(double now, std::vector<Machine*>& barred);
+  // The numbers of orders that came to nothing.
+  std::vector<int> rented(const RentWish& w, const std::vector<std::string>& names, double now);
+  std::vector<int> refused(const RentWish& w, std::size_t from, bool no_capacity, double now);
+  std::vector<std::string> returns();
+  void return_failed(const std::string& name);
+
+  // Machines that another shard lacks, marked to go there once they are empty.
+  std::vector<Machine*> give(int to, int machines);
+  std::vector<RosterWish> roster_wishes(std::uint64_t token) const;
+  double capacity(const jobs::Amount& one) const;  // in machines of this size
+
+ private:
+  Machine& add();
+
+  Common& common_;
+  int next_number_ = 1;
+  std::vector<std::pair<int, Ptr>> all_;
+  std::vector<Machine*> by_number_;  // null: gone
+  std::unordered_map<std::string, int> by_name_;
+  std::map<std::pair<int, int>, double> refused_until_;  // tier, zone
+  std::set<std::pair<int, int>> asking_;                 // tier, zone: a rent is out
+  std::map<int, chain::IdleWait> idle_;                  // by tier
+  std::map<int, double> last_returned_;                  // by tier: when a returned one went idle
+};
+
+// What a task takes of a machine of this size, the greater share of the two.
+double share_of(const jobs::Amount& a, const jobs::Amount& one);
+
+}  // namespace shunt::fleet
--- /dev/null
+++ b/src/fleet/queue.h
@@ -0,0 +1,16 @@
+// What waits for a machine. Waiting alone changes it.
+#pragma once
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "fleet/item.h"
+
+namespace shunt::fleet {
+
+struct Queue {
+  std::vector<Item> items;                                    // in order of service
+  std::array<std::uint16_t, wire::kPriorities + 1> listed{};  // by band
+};
+
+}  // namespace shunt::fleet
--- a/src/fleet/commits.cpp
+++ b/src/fleet/sheets.cpp
@@ -1,15 +1,16 @@
-// What the desk writes to the state service, and what follows from the answer.
+#include "fleet/sheets.h"
+
 #include <algorithm>
+#include <map>
 #include <set>
 
-#include "fleet/desk.h"
-
 namespace shunt::fleet {
 
 using jobs::JobPtr;
 
 namespace {
-constexpr double kDoneWait = 3.0;          // results wait so long for starts to share a change with
+constexpr std::size_t kSheets = 48;  // of a shard: room for every placement a full fleet holds
+constexpr double kDoneWait = 3.0;    // results wait so long for starts to share a change with
 constexpr std::size_t kSheetBytes = 5800;  // never longer, though values may be
 constexpr std::size_t kSheetsPerTxn = 3;
 constexpr std::size_t kSheetsMost = 512;
@@ -22,19 +23,51 @@
 }
 }  // namespace
 
-Desk::Placement* Desk::placement(const Held& h) {
-  Machine* m = at(h.machine);
-  if (!m) return nullptr;
-  for (Placement& p : m->placements)
-    if (p.attempt == h.attempt && p.task == h.task && p.job == h.job) return &p;
-  return nullptr;
+Sheets::Sheets(Common& common, Machines& machines, Placements& placements)
+    : common_(common), machines_(machines), placements_(placements), sheets_(kSheets) {}
+
+void Sheets::inherit(int sheet, const wire::SheetRecord& r, double now) {
+  if (sheet < 0) return;
+  if (static_cast<std::size_t>(sheet) >= sheets_.size())
+    sheets_.resize(static_cast<std::size_t>(sheet) + 1);
+  Sheet& mine = sheets_[static_cast<std::size_t>(sheet)];
+  for (const auto& g : r.jobs) {
+    JobPtr j;
+    if (auto it = common_.jobs.find(g.job); it != common_.jobs.end()) {
+      j = it->second;
+      for (const auto& [c, list] : g.done) {
+        mine.done.emplace_back(j, c);
+        j->done_sheet[c] = sheet;
+      }
+    } else {
+      // The job is over, but its tasks may still be there: they count until proven gone.
+      wire::JobRecord stub;
+      stub.spec.id = g.job;
+      stub.spec.tasks = 1;
+      stub.spec.cpus = g.cpus;
+      stub.spec.gpus = g.gpus;
+      stub.spec.mem_gb = g.mem_gb;
+      j = std::make_shared<jobs::Job>(stub, g.team, 0,
+                                      static_cast<int>(common_.settings.zones.size()), now, 0);
+      j->gone = true;
+      j->pending.clear();
+    }
+    for (const auto& at : g.places) {
+      // A machine that the roster does not hold under this shard has been deleted, or was empty
+      // when it moved away: nothing of ours can be on it.
+      Machine* m = machines_.find(at.machine);
+      if (!m) continue;
+      mine.held.push_back({m->number, j, at.task, at.attempt});
+      placements_.inherit(*m, mine.held.back(), now);
+    }
+  }
 }
 
 // What is proven gone, or is written elsewhere by now, need not be carried on.
-void Desk::prune_sheets() {
+void Sheets::prune() {
   for (std::size_t i = 0; i < sheets_.size(); ++i) {
     std::erase_if(sheets_[i].held, [&](const Held& h) {
-      const Placement* p = placement(h);
+      const Placement* p = placements_.find(h);
       return !p || p->released;
     });
     std::erase_if(sheets_[i].done, [&](const auto& d) {
@@ -45,10 +78,9 @@
 
 // Writes a sheet anew: what it holds and still matters, and as many of the starts and results as
 // it has room for. Its length is counted from above. False if there was room for nothing.
-bool Desk::fill_sheet(int index, const state::World& w, const state::Room& size,
-                      std::vector<Held>& starts,
-                      std::vector<std::pair<JobPtr, std::uint32_t>>& dirty, const std::string& tag,
-                      wire::Txn& t, Out& out) {
+bool Sheets::fill(int index, const state::World& w, const state::Room& size,
+                  std::vector<Held>& starts, Chunks& dirty, const std::string& tag, wire::Txn& t,
+                  Out& out) {
   Sheet& sheet = sheets_[static_cast<std::size_t>(index)];
   const std::size_t limit = std::min(kSheetBytes, size.value_bytes) - 64;
   const std::size_t max_guards = size.guards - 2;
@@ -59,12 +91,13 @@
   std::size_t bytes = 48 + tag.size();
   std::map<std::string, std::size_t> groups;  // by job: a job that is over may have several stubs
   std::set<int> machines;
-  std::uint64_t base = token_ << 20;
+  std::uint64_t base = placements_.token() << 20;
   for (const Held& h : sheet.held) base = std::min(base, h.attempt);
 
   auto header = [&](const JobPtr& j) -> std::size_t {
     if (groups.contains(j->spec.id)) return 0;
-    return 96 + j->spec.id.size() + (j->team >= 0 ? settings_.teams[j->team].name.size() : 0);
+    return 96 + j->spec.id.size() +
+           (j->team >= 0 ? common_.settings.teams[j->team].name.size() : 0);
   };
   auto group = [&](const JobPtr& j) -> wire::SheetJob& {
     auto [it, fresh] = groups.try_emplace(j->spec.id, r.jobs.size());
@@ -74,11 +107,11 @@
   };
   auto place_bytes = [&](const Held& h) {
     std::size_t n = 6 + digits(h.task) + digits(h.attempt - base) + header(h.job);
-    if (!machines.contains(h.machine)) n += at(h.machine)->name.size() + 3;
+    if (!machines.contains(h.machine)) n += machines_.at(h.machine)->name.size() + 3;
     return n;
   };
   auto put = [&](const Held& h) {
-    group(h.job).places.push_back({at(h.machine)->name, h.task, h.attempt});
+    group(h.job).places.push_back({machines_.at(h.machine)->name, h.task, h.attempt});
     machines.insert(h.machine);
   };
   auto done_bytes = [&](const JobPtr& j, std::uint32_t c) {
@@ -102,7 +135,7 @@
   // a moment, until enough of what it holds is over; results that it holds and that have grown
   // since go to another sheet.
   if (bytes > limit) return false;
-  const std::string key = state::sheet_key(shard_, index);
+  const std::string key = state::sheet_key(common_.shard, index);
   bool added = false;
   std::size_t taken = 0;
   for (; taken < starts.size(); ++taken) {
@@ -137,18 +170,20 @@
   });
   if (!added) return false;
   t.guards.emplace_back(key, w.stamp(key));
-  t.ops.push_back(
-      {key,
-       wire::encode_record(
-           r, [&](int team) { return team >= 0 ? settings_.teams[team].name : std::string("-"); }),
-       0});
-  for (const Held& h : write.starts) placement(h)->phase = Phase::committing;
+  t.ops.push_back({key,
+                   wire::encode_record(r,
+                                       [&](int team) {
+                                         return team >= 0 ? common_.settings.teams[team].name
+                                                          : std::string("-");
+                                       }),
+                   0});
+  for (const Held& h : write.starts) placements_.find(h)->phase = Phase::committing;
   out.writes.push_back(std::move(write));
   return true;
 }
 
-std::optional<wire::Txn> Desk::next_txn(const state::World& w, const state::Room& size,
-                                        const std::string& tag, double now) {
+std::optional<wire::Txn> Sheets::next(const state::World& w, const state::Room& size,
+                                      const std::string& tag, double now) {
   if (out_) return std::nullopt;
   wire::Txn t;
   Out out;
@@ -157,11 +192,11 @@
   const std::size_t final_ops = ops > 2 ? 3 : 2;
   // Every key written is guarded by its own stamp, so that a transaction that is applied late,
   // or a second time, cannot be: and by the owner's, so that nobody else's is overwritten.
-  t.guards.emplace_back(state::owner_key(shard_), token_);
+  t.guards.emplace_back(state::owner_key(common_.shard), placements_.token());
 
-  std::vector<std::pair<JobPtr, std::uint32_t>> dirty;
+  Chunks dirty;
   bool due = false;
-  for (auto& [id, j] : jobs_) {
+  for (auto& [id, j] : common_.jobs) {
     if (j->complete()) {
       if (!w.job(id)) continue;
       if (out.finals.size() >= kFinalsPerTxn || t.ops.size() + final_ops > ops) continue;
@@ -181,19 +216,11 @@
     due |= now - j->dirty_since > kDoneWait;
     for (std::uint32_t c : j->dirty_chunks) dirty.emplace_back(j, c);
   }
-  std::vector<Held> starts;
-  for (auto& [n, m] : machines_) {
-    if (!m->rostered) continue;
-    for (const Placement& p : m->placements)
-      if (p.phase == Phase::planned && !p.released && !p.job->gone && w.job(p.job->spec.id))
-        starts.push_back({n, p.job, p.task, p.attempt});
-  }
-  std::stable_sort(starts.begin(), starts.end(),
-                   [](const Held& a, const Held& b) { return a.job->band() < b.job->band(); });
+  std::vector<Held> starts = planned(w);
   if (!starts.empty() || due) {
     // The emptiest sheets first, by what still matters: counted with what does not, the sheets
     // written least would seem the fullest, and starts would queue for the others.
-    prune_sheets();
+    prune();
     std::vector<std::size_t> order(sheets_.size());
     for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
     auto load = [&](std::size_t i) { return sheets_[i].held.size() + 4 * sheets_[i].done.size(); };
@@ -204,33 +231,47 @@
       // Results ride along with starts; only those that have waited take changes of their own.
       if (used >= kSheetsPerTxn || t.ops.size() >= ops) break;
       if (starts.empty() && (dirty.empty() || (used && !due))) break;
-      used += fill_sheet(static_cast<int>(i), w, size, starts, dirty, tag, t, out);
+      used += fill(static_cast<int>(i), w, size, starts, dirty, tag, t, out);
     }
     // All full, or too long for what a value may hold by now: one more.
     if (!used && t.ops.size() < ops && (!starts.empty() || !dirty.empty()) &&
         sheets_.size() < kSheetsMost) {
       sheets_.emplace_back();
-      fill_sheet(static_cast<int>(sheets_.size()) - 1, w, size, starts, dirty, tag, t, out);
+      fill(static_cast<int>(sheets_.size()) - 1, w, size, starts, dirty, tag, t, out);
     }
   }
   if (t.ops.empty()) return std::nullopt;
-  ++count_.commits;
+  ++common_.count.commits;
   out_ = std::move(out);
   return t;
 }
 
-void Desk::txn_applied(double now) {
-  if (!out_) return;
+// What is to be started, the more urgent first.
+std::vector<Held> Sheets::planned(const state::World& w) const {
+  std::vector<Held> starts;
+  for (const auto& [n, m] : machines_.all()) {
+    if (!m->rostered) continue;
+    for (const Placement& p : m->placed.list)
+      if (p.phase == Phase::planned && !p.released && !p.job->gone && w.job(p.job->spec.id))
+        starts.push_back({n, p.job, p.task, p.attempt});
+  }
+  std::stable_sort(starts.begin(), starts.end(),
+                   [](const Held& a, const Held& b) { return a.job->band() < b.job->band(); });
+  return starts;
+}
+
+std::vector<std::string> Sheets::applied(double now) {
+  if (!out_) return {};
   Out out = std::move(*out_);
   out_.reset();
   for (auto& write : out.writes) {
     Sheet& sheet = sheets_[static_cast<std::size_t>(write.sheet)];
     for (const Held& h : write.starts) {
       sheet.held.push_back(h);
-      Placement* p = placement(h);
+      Placement* p = placements_.find(h);
       if (!p || p->phase != Phase::committing) continue;
       p->phase = Phase::committed;
-      note_due(*at(h.machine));
+      placements_.note_due(*machines_.at(h.machine));
     }
     for (auto& [j, c, bits] : write.done) {
       j->set_persisted(c, bits);
@@ -241,24 +282,18 @@
       sheet.done.emplace_back(j, c);
     }
   }
-  for (const auto& id : out.finals) job_gone(id, now);
+  return std::move(out.finals);
 }
 
-void Desk::txn_failed(double now) {
+void Sheets::failed(double now) {
   if (!out_) return;
-  ++count_.commit_failures;
+  ++common_.count.commit_failures;
   Out out = std::move(*out_);
   out_.reset();
   for (const auto& write : out.writes)
     for (const Held& h : write.starts) {
-      Placement* p = placement(h);
-      if (!p || p->phase != Phase::committing) continue;
-      p->phase = Phase::planned;
-      if (!p->job->gone) continue;
-      Machine* m = at(h.machine);
-      release(*m, *p, now, false);
-      std::erase_if(m->placements,
-                    [](const Placement& q) { return q.phase == Phase::planned && q.released; });
+      Placement* p = placements_.find(h);
+      if (p && p->phase == Phase::committing) placements_.undo(*machines_.at(h.machine), *p, now);
     }
 }
 
--- /dev/null
+++ b/src/fleet/waiting.cpp
@@ -0,0 +1,376 @@
+#include "fleet/waiting.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <tuple>
+
+namespace shunt::fleet {
+
+using jobs::Amount;
+using jobs::Job;
+using jobs::JobPtr;
+using wire::RunState;
+
+namespace {
+constexpr double kLittleWork = 8;  // what cannot save is stopped only before it has done more
+constexpr std::size_t kWalksPerTurn = 400;
+constexpr std::size_t kPullsPerReport = 32;
+constexpr double kNoteGap = 0.3;  // between two looks at the guarantees
+}  // namespace
+
+Waiting::Waiting(Common& common, Machines& machines, Placements& placements, std::uint64_t seed)
+    : common_(common),
+      machines_(machines),
+      placements_(placements),
+      rng_(seed),
+      waiting_(common.settings.teams.size()) {}
+
+bool Waiting::quota_ok(const Job& j, bool with_waiting) const {
+  const auto& t = common_.settings.teams[j.team];
+  Amount limit = Amount::of(t.cpus_max, t.gpus_max, 0);
+  Amount sum = placements_.used(j.team) + j.need;
+  if (with_waiting) sum += waiting_[j.team];
+  return sum.cpus <= limit.cpus && sum.gpus <= limit.gpus;
+}
+
+// ---- lists
+
+void Waiting::listed(Machine& m, const Item& i, bool yes) {
+  const Job& j = *i.job;
+  if (yes) {
+    waiting_[j.team] += j.need;
+    all_[i.key()] = m.number;
+    ++m.queue.listed[static_cast<std::size_t>(i.band)];
+    ++i.job->listed;
+  } else {
+    waiting_[j.team] -= j.need;
+    all_.erase(i.key());
+    --m.queue.listed[static_cast<std::size_t>(i.band)];
+    --i.job->listed;
+  }
+}
+void Waiting::empty(Machine& m) {
+  for (const Item& i : m.queue.items) {
+    listed(m, i, false);
+    common_.requeue(i.job, i.task);
+  }
+  m.queue.items.clear();
+}
+
+void Waiting::drop(Machine& m, const JobPtr& j) {
+  std::erase_if(m.queue.items, [&](const Item& i) {
+    if (i.job == j) listed(m, i, false);
+    return i.job == j;
+  });
+}
+void Waiting::back(Machine& m, const JobPtr& j) {
+  std::erase_if(m.queue.items, [&](const Item& i) {
+    if (i.job != j) return false;
+    listed(m, i, false);
+    common_.requeue(i.job, i.task);
+    return true;
+  });
+}
+void Waiting::forget(const JobPtr& j, std::uint32_t task) {
+  if (!j->listed) return;
+  for (auto& [n, m] : machines_.all())
+    std::erase_if(m->queue.items, [&, at = m.get()](const Item& i) {
+      if (i.job != j || i.task != task) return false;
+      listed(*at, i, false);
+      return true;
+    });
+}
+
+void Waiting::join(Machine& m, Item item) {
+  listed(m, item, true);
+  m.queue.items.insert(
+      std::upper_bound(m.queue.items.begin(), m.queue.items.end(), item, Item::before),
+      std::move(item));
+  machines_.note_idle(m, 0);
+}
+
+// ---- the chain
+
+// Where the task may go: at machines with room only, or at every machine.
+std::vector<chain::Tier> Waiting::ways(const Item& item, bool room_only, double now) {
+  const Job& j = *item.job;
+  const int band = item.band;
+  std::vector<chain::Tier> tiers;
+  for (int id : common_.catalogue.tier_order) {
+    if (!machines_.type_ok(j, id / 2, id % 2)) continue;
+    chain::Tier t;
+    t.id = id;
+    const Amount full = common_.catalogue.types[id / 2].room;
+    // The machines of a tier share what they have learned: a machine lives for minutes, and left
+    // to itself would spend them trying each arm in each context.
+    chain::Bandit* experience = &experience_.try_emplace(id, common_.tuning.ring).first->second;
+    double share = 0;
+    if (full.cpus > 0) share = static_cast<double>(j.need.cpus) / static_cast<double>(full.cpus);
+    if (full.mem > 0)
+      share = std::max(share, static_cast<double>(j.need.mem) / static_cast<double>(full.mem));
+    const std::uint8_t size = chain::size_bucket(share);
+    for (auto& [n, m] : machines_.all()) {
+      if (m->tier() != id) continue;
+      if (m->state == Machine::up) {
+        // Accept is split by band (paper 3.1, query scheduling): a task joins the list of its
+        // job's band, and only what is ahead of it there counts.
+        std::size_t ahead = 0;
+        for (int k = 0; k <= band; ++k) ahead += m->queue.listed[static_cast<std::size_t>(k)];
+        bool has_room = j.need.fits(machines_.room(*m));
+        if (room_only && (!has_room || ahead)) continue;
+        if (!machines_.usable(*m, j, now)) continue;
+        chain::Seat s;
+        s.machine = n;
+        s.learner = experience;
+        s.context.cls = static_cast<std::uint16_t>(j.cls);
+        s.context.size = size;
+        s.context.waiting = chain::waiting_bucket(has_room, ahead);
+        s.context.warm = Machines::warm(*m, j.image);
+        s.may_accept = static_cast<int>(ahead) <= common_.tuning.waiting_bar;
+        s.empty = m->placed.list.empty() && m->queue.items.empty();
+        t.seats.push_back(std::move(s));
+      } else if (!room_only && t.end.kind == chain::TierEnd::none && machines_.usable(*m, j, now)) {
+        // A pending rent takes what fits its whole room.
+        Amount taken = m->placed.used;
+        for (const Item& i : m->queue.items) taken += i.job->need;
+        if (j.need.fits(full - taken)) t.end = {chain::TierEnd::join, n};
+      }
+    }
+    if (!room_only && t.end.kind == chain::TierEnd::none && machines_.pick_zone(j, id, now) >= 0)
+      t.end = {chain::TierEnd::rent, 0};
+    if (!t.seats.empty() || t.end.kind != chain::TierEnd::none) tiers.push_back(std::move(t));
+  }
+  return tiers;
+}
+
+// While some machine of the chain has room for the task, it neither waits nor rents (the strategy
+// space is bounded, paper 3.3): arms that only lead there are barred, the others stay learned.
+bool Waiting::enter(Item item, double now) {
+  const Job& j = *item.job;
+  std::vector<chain::Tier> tiers;
+  // Two looks: at machines with room first, since they bar all else; then at every machine.
+  for (bool room_only : {true, false}) {
+    tiers = ways(item, room_only, now);
+    if (tiers.empty()) continue;
+    // Where a machine with room has the image, those that would have to fetch it are barred too: an
+    // urgent task on a cold machine waits for a second or two, and learners that are told the cost
+    // of a whole run hardly see that.
+    auto cold = [](const chain::Seat& s) { return !s.context.warm; };
+    bool any = false;
+    for (const auto& t : tiers) any |= !std::all_of(t.seats.begin(), t.seats.end(), cold);
+    if (room_only && any) {
+      for (auto& t : tiers) std::erase_if(t.seats, cold);
+      std::erase_if(tiers, [](const chain::Tier& t) { return t.seats.empty(); });
+    }
+    break;
+  }
+  chain::Outcome o = chain::walk(tiers, rng_);
+  item.trail = std::move(o.trail);
+  switch (o.kind) {
+    case chain::Outcome::stalled:
+      return false;
+    case chain::Outcome::rented: {
+      const int zone = machines_.pick_zone(j, o.tier, now);
+      item.rented = true;
+      join(machines_.order(o.tier, zone, now), std::move(item));
+      return true;
+    }
+    default: {
+      Machine& m = *machines_.at(o.machine);
+      machines_.reused(m, now);
+      const auto key = item.key();
+      join(m, std::move(item));
+      // No further than this task: what waits behind it must not take the room that other urgent
+      // tasks are just being pulled to.
+      if (m.state == Machine::up) plan(m, now, key);
+      preempt(m, now);
+      return true;
+    }
+  }
+}
+
+// Which jobs are within their team's guarantee, together with the team's earlier unfinished ones.
+void Waiting::note_guarantees() {
+  std::vector<std::vector<Job*>> by_team(common_.settings.teams.size());
+  for (auto& [id, j] : common_.jobs) by_team[static_cast<std::size_t>(j->team)].push_back(j.get());
+  for (std::size_t t = 0; t < by_team.size(); ++t) {
+    std::sort(by_team[t].begin(), by_team[t].end(),
+              [](const Job* a, const Job* b) { return a->since < b->since; });
+    const Amount guarantee =
+        Amount::of(common_.settings.teams[t].cpus, common_.settings.teams[t].gpus, 0);
+    Amount sum;
+    for (Job* j : by_team[t]) {
+      std::int64_t left = j->spec.tasks - (j->spec.service ? 0 : j->done_count());
+      sum += {j->need.cpus * left, j->need.gpus * left, 0};
+      j->within = sum.cpus <= guarantee.cpus && sum.gpus <= guarantee.gpus;
+    }
+  }
+}
+
+// New and returning tasks enter the chain: the more urgent job first, then the older one.
+void Waiting::admit(double now) {
+  // A job that has come, or some work done, moves who is within a guarantee; not every turn does.
+  if (common_.jobs.size() != noted_jobs_ || now - noted_at_ > kNoteGap) {
+    noted_jobs_ = common_.jobs.size();
+    noted_at_ = now;
+    note_guarantees();
+  }
+  std::vector<JobPtr> order;
+  for (auto& [id, j] : common_.jobs)
+    if (!j->pending.empty() && j->not_before <= now) order.push_back(j);
+  std::sort(order.begin(), order.end(), [](const JobPtr& a, const JobPtr& b) {
+    if (a->band() != b->band()) return a->band() < b->band();
+    return a->since < b->since;
+  });
+  std::size_t walks = 0;
+  // What found no place this turn: another job of the same shape finds none either.
+  using Shape = std::tuple<std::int64_t, std::int64_t, std::int64_t, int, bool, int>;
+  std::set<Shape> stalled;
+  for (const JobPtr& j : order) {
+    bool plain = !j->spec.types && !j->spec.zone && !j->spec.one_zone && !j->spec.spread;
+    Shape shape{j->need.cpus, j->need.gpus, j->need.mem, j->cls, j->spec.spot, j->band()};
+    if (plain && stalled.contains(shape)) continue;
+    while (!j->pending.empty() && walks < kWalksPerTurn) {
+      // A team at its limit gets no Accept and no rent.
+      if (!quota_ok(*j, true)) break;
+      ++walks;
+      std::uint32_t task = *j->pending.begin();
+      j->pending.erase(j->pending.begin());
+      Item i;
+      i.job = j;
+      i.task = task;
+      i.since = now;
+      i.order = next_order_++;
+      i.band = j->band();
+      if (!enter(std::move(i), now)) {
+        j->pending.insert(task);
+        if (plain) stalled.insert(shape);
+        break;
+      }
+    }
+  }
+  // More than one turn's worth: the rest has the next one.
+  if (walks >= kWalksPerTurn) common_.stirred = true;
+}
+
+// ---- machines with room
+
+void Waiting::serve(Machine& m, double now) {
+  pull(m, now);
+  plan(m, now);
+  preempt(m, now);
+  pull(m, now);
+}
+
+// First come, first served within a priority, as far as the machine has room.
+void Waiting::plan(Machine& m, double now, std::optional<Key> up_to) {
+  if (!m.open(now) || !m.rostered) return;
+  for (std::size_t i = 0; i < m.queue.items.size();) {
+    Item& it = m.queue.items[i];
+    Job& j = *it.job;
+    if (up_to && it.key() > *up_to) break;
+    if (!machines_.usable(m, j, now)) {
+      // Its job's other tasks have bound it to another zone since it joined.
+      Item back = std::move(it);
+      m.queue.items.erase(m.queue.items.begin() + static_cast<long>(i));
+      listed(m, back, false);
+      common_.requeue(back.job, back.task);
+      continue;
+    }
+    // Counted again at the last moment, over every recorded placement: the limit is a rule.
+    // The list is first come, first served to the letter: small tasks that slipped past a large
+    // one would keep it waiting for as long as they keep coming.
+    if (!j.need.fits(machines_.room(m))) break;
+    if (!quota_ok(j, false) || (j.spec.gang && j.in_round.contains(it.task))) {
+      ++i;
+      continue;
+    }
+    Item next = std::move(it);
+    m.queue.items.erase(m.queue.items.begin() + static_cast<long>(i));
+    listed(m, next, false);
+    placements_.place(m, std::move(next));
+  }
+  machines_.note_idle(m, now);
+}
+
+// Tasks that would wait here make room, as PROTOCOL's Preemption allows: urgent ones stop work of
+// lower priority; those that their team is guaranteed stop what another team runs beyond its own
+// guarantee. Only what can save its progress or has hardly begun is stopped.
+void Waiting::preempt(Machine& m, double now) {
+  if (!m.open(now)) return;
+  Amount room_soon = machines_.room(m);
+  for (const Placement& p : m.placed.list)
+    if (p.stopping && !p.released) room_soon += p.job->need;
+  auto beyond = [&](int team) {
+    if (team < 0) return false;
+    const auto& t = common_.settings.teams[static_cast<std::size_t>(team)];
+    return placements_.used(team).cpus > Amount::of(t.cpus, 0, 0).cpus;
+  };
+  for (const Item& i : m.queue.items) {
+    if (i.band > Job::kGuaranteed) break;
+    if (!quota_ok(*i.job, false)) continue;
+    const bool guaranteed = i.band == Job::kGuaranteed;
+    std::vector<Placement*> victims;
+    for (Placement& p : m.placed.list) {
+      if (!p.seen || p.released || p.stopping || p.state == RunState::exited || p.job->spec.gang)
+        continue;
+      if (p.job->spec.checkpoint_s <= 0 && p.started != 0 && now - p.started >= kLittleWork)
+        continue;
+      if (guaranteed ? p.job->team != i.job->team && !p.job->within && beyond(p.job->team)
+                     : p.job->priority > i.job->priority)
+        victims.push_back(&p);
+    }
+    std::sort(victims.begin(), victims.end(), [&](const Placement* a, const Placement* b) {
+      auto rank = [](const Placement* p) {
+        return std::tuple(-static_cast<int>(p->job->priority), p->job->spec.checkpoint_s == 0,
+                          -p->started);
+      };
+      return rank(a) < rank(b);
+    });
+    Amount gained = room_soon;
+    std::size_t n = 0;
+    while (n < victims.size() && !i.job->need.fits(gained)) gained += victims[n++]->job->need;
+    if (!i.job->need.fits(gained)) break;
+    for (std::size_t k = 0; k < n; ++k) placements_.stop(m, *victims[k]);
+    room_soon = gained - i.job->need;
+  }
+}
+
+// A machine reports room: tasks that wait on others enter the chain again, the more urgent and
+// longest-waiting first, each leaving its old list first (DESIGN point 2; here from every tier).
+// Before the machine's own list is through, only more urgent ones do: else room would go to low
+// work here while urgent tasks wait on machines that are full.
+void Waiting::pull(Machine& m, double now) {
+  if (!m.open(now) || !m.rostered) return;
+  std::size_t walks = 0;
+  const Job* misfit = nullptr;  // the same job's next task would not fit either
+  auto next = all_.begin();
+  while (next != all_.end() && walks < kPullsPerReport) {
+    if (machines_.room(m).cpus <= 0) return;
+    auto [key, number] = *next++;
+    if (!m.queue.items.empty() && key.first >= m.queue.items.front().key().first) return;
+    Machine* from = machines_.at(number);
+    if (!from || from == &m) continue;
+    auto it = std::find_if(from->queue.items.begin(), from->queue.items.end(),
+                           [&](const Item& i) { return i.key() == key; });
+    if (it == from->queue.items.end() || it->job.get() == misfit) continue;
+    if (!it->job->need.fits(machines_.room(m)) || !machines_.usable(m, *it->job, now)) {
+      misfit = it->job.get();
+      continue;
+    }
+    ++walks;
+    Item item = std::move(*it);
+    from->queue.items.erase(it);
+    listed(*from, item, false);
+    item.trail.clear();
+    item.rented = false;
+    JobPtr j = item.job;
+    std::uint32_t task = item.task;
+    if (!enter(std::move(item), now)) common_.requeue(j, task);
+    machines_.note_idle(*from, now);
+    next = all_.upper_bound(key);
+  }
+}
+
+}  // namespace shunt::fleet
--- /dev/null
+++ b/src/fleet/waiting.h
@@ -0,0 +1,55 @@
+// Waiting lists and the chain: how tasks enter it, wait on machines' lists, and are placed. Pure:
+// the random numbers come from the seed.
+#pragma once
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "fleet/common.h"
+#include "fleet/machines.h"
+#include "fleet/placements.h"
+
+namespace shunt::fleet {
+
+class Waiting {
+ public:
+  Waiting(Common& common, Machines& machines, Placements& placements, std::uint64_t seed);
+
+  // Tasks with no place and not in the chain enter it.
+  void admit(double now);
+  // A machine reports room, or has been given some: its list is served, and urgent tasks that wait
+  // elsewhere come to it.
+  void serve(Machine& m, double now);
+  // What waits for it goes back to where it enters the chain from.
+  void empty(Machine& m);
+  // A job is over, or waits on lists of a band that is no longer its own.
+  void drop(Machine& m, const jobs::JobPtr& j);
+  void back(Machine& m, const jobs::JobPtr& j);
+  // A task of it is done: it may wait somewhere for another try.
+  void forget(const jobs::JobPtr& j, std::uint32_t task);
+
+ private:
+  bool enter(Item item, double now);  // false: stalled
+  std::vector<chain::Tier> ways(const Item& item, bool room_only, double now);
+  void join(Machine& m, Item item);
+  void plan(Machine& m, double now, std::optional<Key> up_to = std::nullopt);
+  void preempt(Machine& m, double now);
+  void pull(Machine& m, double now);
+  void note_guarantees();
+  void listed(Machine& m, const Item& i, bool yes);  // keeps the counts of waiting tasks
+  bool quota_ok(const jobs::Job& j, bool with_waiting) const;
+
+  Common& common_;
+  Machines& machines_;
+  Placements& placements_;
+  chain::Rng rng_;
+  std::uint64_t next_order_ = 0;
+  std::vector<jobs::Amount> waiting_;  // by team
+  // Every waiting task, the more urgent and then the older first, and the machine it waits on.
+  std::map<Key, int> all_;
+  std::map<int, chain::Bandit> experience_;  // by tier
+  std::size_t noted_jobs_ = 0;
+  double noted_at_ = -1e9;
+};
+
+}  // namespace shunt::fleet
