Tests: histories in which roster pages stand in the forms of both state levels

Need: during a rollout builds of both levels write; the histories of the desk knew one form only. Change: the roster of the generated histories is written in either form.

--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -50,7 +50,9 @@
     state::World now_there(s_);
     std::vector<state::Change> changes;
     store_.read(now_there, changes);
-    store_.commit(roster_txn(now_there, {{w.name, "t4", zone, true, 0, 0}}));
+    // While builds of several state levels write, pages stand in either form.
+    store_.commit(roster_txn(now_there, {{w.name, "t4", zone, true, 0, 0, 1733000000 + now_}},
+                             static_cast<int>(rng_() % 2)));
     workers_.push_back(w);
   }
 
@@ -66,7 +68,8 @@
       for (const auto& m : w.roster(page))
         if (!deleted_.contains(m.name)) left.push_back(m);
       t.ops.push_back(
-          {state::roster_key(page), wire::encode_record(wire::RosterRecord{"t", left}), 0});
+          {state::roster_key(page),
+           wire::encode_record(wire::RosterRecord{"t", left, static_cast<int>(rng_() % 2)}), 0});
     }
     store_.commit(t);
     deleted_.clear();
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -49,8 +49,10 @@
   return r;
 }
 
-// A roster page as a node would write it, with these machines added to what is there.
-inline wire::Txn roster_txn(const state::World& w, const std::vector<wire::MachineRecord>& add) {
+// A roster page as a node would write it, with these machines added to what is there, in the form
+// of a state level.
+inline wire::Txn roster_txn(const state::World& w, const std::vector<wire::MachineRecord>& add,
+                            int form = 0) {
   std::map<int, std::vector<wire::MachineRecord>> pages;
   for (const auto& m : add) {
     int page = state::roster_page(m.name);
@@ -60,7 +62,7 @@
   wire::Txn t;
   for (const auto& [page, machines] : pages)
     t.ops.push_back(
-        {state::roster_key(page), wire::encode_record(wire::RosterRecord{"t", machines}), 0});
+        {state::roster_key(page), wire::encode_record(wire::RosterRecord{"t", machines, form}), 0});
   return t;
 }
 
