Test: beside state that no build reads, nobody serves, is registered or writes

Need: the refusal of a whole controller was tested in its parts only. Change: a set on one machine meets a level record of 5, and then one that it can read again.

--- a/tests/local_test.cpp
+++ b/tests/local_test.cpp
@@ -8,11 +8,13 @@
 
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "checker/attempts.h"
 #include "checker/trial.h"
+#include "ctl/service.h"
 #include "local/settings.h"
 
 namespace shunt::test {
@@ -158,6 +160,41 @@
   EXPECT_EQ(set.end(), 0);
 }
 
+// State of a level that no controller here can read: none of them serves, none is registered, none
+// writes; and all go on by themselves when it can be read again.
+TEST(LocalSet, NobodyServesBesideStateThatNoBuildReads) {
+  Set set;
+  set.start();
+  ASSERT_EQ(set.ctl("submit --wait -- true").first, 0);
+  std::ifstream in(set.dir / "set" / "controllers" / "node-0.json");
+  ctl::Service state(nlohmann::json::parse(in)["services"]["state"].get<std::string>());
+  auto level = [&](int n) {
+    const std::string text = std::to_string(n);
+    state.order("/commit", R"({"guards":[],"writes":[{"set":"st/l/active","value":{"level":)" +
+                               text + R"(,"lowest":)" + text + R"(,"highest":)" + text +
+                               R"(,"w":"x"}}]})");
+  };
+  auto reach = [&](const std::function<bool()>& there) {
+    for (int i = 0; i < 300 && !there(); ++i) ::usleep(100000);
+    return there();
+  };
+  auto revision = [&] {
+    return nlohmann::json::parse(state.get("/kv?starts=st/n/").body)["ledger"].get<int>();
+  };
+  auto registered = [&] {
+    return nlohmann::json::parse(state.get("/kv?starts=st/n/").body)["entries"].size();
+  };
+  level(5);
+  EXPECT_TRUE(reach([&] { return registered() == 0 && set.ctl("up").first == 1; }));
+  const int quiet = revision();
+  ::usleep(1500000);
+  EXPECT_EQ(revision(), quiet);
+  level(1);
+  EXPECT_EQ(set.ctl("submit --wait -- true").first, 0);
+  EXPECT_TRUE(reach([&] { return registered() == 3; }));
+  EXPECT_EQ(set.end(), 0);
+}
+
 // A shorter run of the trial of docs/results.md.
 TEST(LocalSet, KillsAtRandomLeaveEachTaskOneAnswer) {
   std::string name = fs::temp_directory_path() / "shunt-trial-XXXXXX";
