256 sheets a shard instead of 48: a start is written with little beside it

Cause: at the large size 48 sheets of 5.8 KB are full; three of them take part in a commit, so starts wait for the little room that is left, and each rewrites what its sheet holds. Change: the number of sheets.

--- a/src/fleet/sheets.cpp
+++ b/src/fleet/sheets.cpp
@@ -9,8 +9,11 @@
 using jobs::JobPtr;
 
 namespace {
-constexpr std::size_t kSheets = 48;  // of a shard: room for every placement a full fleet holds
-constexpr double kDoneWait = 3.0;    // results wait so long for starts to share a change with
+// Of a shard. A start's cost is what its sheet still holds beside it: with few sheets nearly all
+// that runs is written again and again, and at the large size they are full, so that starts queue
+// for the little room that three of them have left.
+constexpr std::size_t kSheets = 256;
+constexpr double kDoneWait = 3.0;          // results wait so long for starts to share a change with
 constexpr std::size_t kSheetBytes = 5800;  // never longer, though values may be
 constexpr std::size_t kSheetsPerTxn = 3;
 constexpr std::size_t kSheetsMost = 512;
