A job's sheets are found by an index; the small things that reading the levels left

Change: World keeps which sheets name a job; the form is asked of World::roster_form alone; net::no; Levels::converts and kFailedEverywhere as said. No behaviour changes.

--- a/src/fleet/placements.cpp
+++ b/src/fleet/placements.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 const double kPriorityWeight[wire::kPriorities] = {8, 4, 1, 0.5};
-constexpr double kFailedEverywhere = 3;  // machines: then the job itself is at fault
+constexpr std::size_t kFailedEverywhere = 3;  // machines: then the job itself is at fault
 constexpr double kBackoff = 5, kBackoffMost = 60;
 constexpr double kUnknownPause = 3;  // its description may still be on its way
 constexpr double kFullPause = 1;
--- a/src/front/levels.cpp
+++ b/src/front/levels.cpp
@@ -12,15 +12,10 @@
 constexpr double kTurnOfNode = 0.5;  // any node may make a step; they try one after the other
 constexpr double kFresh = 3;         // what a step is decided by was read so lately
 constexpr double kOrderWithin = 3;
-
-net::Answer no(int status, const std::string& why, double retry_after_s = 0) {
-  return {
-      status,
-      nlohmann::json{{"error", why}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
-      retry_after_s};
-}
 }  // namespace
 
+using net::no;
+
 Levels::Levels(actor::Loop& loop, Parts& parts, levels::Build build)
     : Actor(loop), parts_(parts), build_(build) {
   parts_.store->listen(reply<Changes>([this](Changes c) {
@@ -52,8 +47,7 @@
 bool Levels::converts() const {
   const auto& v = parts_.store->world().levels();
   for (std::size_t n = 0; n < v.members.size(); ++n)
-    if (v.members[n].stamp && levels::refusal(v, v.members[n].build).empty() &&
-        v.members[n].build.reads(v.record.active, v.record.active))
+    if (v.members[n].stamp && levels::refusal(v, v.members[n].build).empty())
       return static_cast<int>(n) == parts_.settings.self;
   return false;
 }
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -17,15 +17,10 @@
 constexpr double kServingFresh = 4;  // this node can serve with a look at most so old
 
 net::Answer later(double s = 1) { return {503, "{\"error\":\"not now\"}", s}; }
-net::Answer no(int status, const std::string& why) {
-  return {
-      status,
-      nlohmann::json{{"error", why}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
-      0};
-}
-
 }  // namespace
 
+using net::no;
+
 void Users::ask(ExchangePtr ex) {
   post([this, ex] { route(ex); });
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <cstring>
+#include <nlohmann/json.hpp>
 
 namespace shunt::net {
 namespace {
@@ -49,6 +50,13 @@
 
 }  // namespace
 
+Answer no(int status, const std::string& why, double retry_after_s) {
+  return {
+      status,
+      nlohmann::json{{"error", why}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      retry_after_s};
+}
+
 Exchange::Exchange(evhttp_request* r) : req_(r) {
   post = evhttp_request_get_command(r) == EVHTTP_REQ_POST;
   del = evhttp_request_get_command(r) == EVHTTP_REQ_DELETE;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -18,6 +18,8 @@
   std::string body;
   double retry_after_s = 0;  // 0: no Retry-After
 };
+// A refusal that says why: {"error": why}.
+Answer no(int status, const std::string& why, double retry_after_s = 0);
 
 // One request on the server's side. Answered exactly once; dropping it unanswered answers 503.
 class Exchange {
--- a/src/shard/roster.cpp
+++ b/src/shard/roster.cpp
@@ -10,10 +10,7 @@
 }  // namespace
 
 RosterPage::RosterPage(const state::World& world, int page)
-    : world_(world),
-      gate_(world.levels()),
-      form_(gate_.on(levels::Feature::machine_ages) ? 1 : 0),
-      page_(page) {
+    : world_(world), gate_(world.levels()), form_(world.roster_form()), page_(page) {
   for (int i = 0; i < state::kRosterParts; ++i) {
     int n = state::roster_part(page, i);
     // Parts are begun in order; one may have been emptied since.
--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -55,17 +55,37 @@
   return out;
 }
 
-const wire::SheetJob* World::find(const wire::SheetRecord& r, const std::string& id) const {
-  for (const auto& g : r.jobs)
-    if (g.job == id) return &g;
-  return nullptr;
+void World::each_part(const std::string& id,
+                      const std::function<void(const wire::SheetJob&)>& f) const {
+  auto known = sheets_of_.find(id);
+  if (known == sheets_of_.end()) return;
+  for (const auto& [shard, sheet] : known->second)
+    for (const auto& g : sheets_[static_cast<std::size_t>(shard)].at(sheet).jobs)
+      if (g.job == id) {
+        f(g);
+        break;
+      }
+}
+void World::put_sheet(int shard, int sheet, std::optional<wire::SheetRecord> r) {
+  auto& all = sheets_[static_cast<std::size_t>(shard)];
+  const std::pair at(shard, sheet);
+  if (auto old = all.find(sheet); old != all.end()) {
+    for (const auto& g : old->second.jobs)
+      if (auto of = sheets_of_.find(g.job); of != sheets_of_.end()) {
+        of->second.erase(at);
+        if (of->second.empty()) sheets_of_.erase(of);
+      }
+    all.erase(old);
+  }
+  if (!r) return;
+  for (const auto& g : r->jobs) sheets_of_[g.job].insert(at);
+  all.emplace(sheet, std::move(*r));
 }
 std::map<std::uint32_t, Intervals> World::done(const std::string& id) const {
   std::map<std::uint32_t, Intervals> out;
-  for (const auto& shard : sheets_)
-    for (const auto& [n, sheet] : shard)
-      if (const auto* g = find(sheet, id))
-        for (const auto& [c, list] : g->done) out[c].insert(out[c].end(), list.begin(), list.end());
+  each_part(id, [&](const wire::SheetJob& g) {
+    for (const auto& [c, list] : g.done) out[c].insert(out[c].end(), list.begin(), list.end());
+  });
   return out;
 }
 World::Progress World::progress(const JobEntry& j, std::uint32_t chunk_size) const {
@@ -80,10 +100,9 @@
   for (const auto& [c, list] : done(id))
     for (auto [a, b] : list)
       for (std::uint64_t i = a; i <= b; ++i) count(std::uint64_t{c} * chunk_size + i, out.done);
-  for (const auto& shard : sheets_)
-    for (const auto& [n, sheet] : shard)
-      if (const auto* g = find(sheet, id))
-        for (const auto& p : g->places) count(p.task, out.placed);
+  each_part(id, [&](const wire::SheetJob& g) {
+    for (const auto& p : g.places) count(p.task, out.placed);
+  });
   return out;
 }
 
@@ -161,8 +180,9 @@
         auto slash = rest.find('/');
         int shard = std::atoi(rest.c_str());
         if (slash == std::string::npos || shard < 0 || shard >= settings_.shards()) break;
-        sheets_[shard][std::atoi(rest.c_str() + slash + 1)] =
-            wire::decode_sheet(e, [&](const std::string& t) { return settings_.team_index(t); });
+        put_sheet(
+            shard, std::atoi(rest.c_str() + slash + 1),
+            wire::decode_sheet(e, [&](const std::string& t) { return settings_.team_index(t); }));
         break;
       }
       case 'o': {
@@ -211,7 +231,7 @@
       auto slash = rest.find('/');
       int shard = std::atoi(rest.c_str());
       if (slash == std::string::npos || shard < 0 || shard >= settings_.shards()) break;
-      sheets_[shard].erase(std::atoi(rest.c_str() + slash + 1));
+      put_sheet(shard, std::atoi(rest.c_str() + slash + 1), std::nullopt);
       break;
     }
     case 'o': {
--- a/src/state/world.h
+++ b/src/state/world.h
@@ -1,8 +1,10 @@
 // The cache of everything under the root prefix of the state service, typed. Pure.
 #pragma once
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -79,6 +81,8 @@
     return levels_.members[static_cast<std::size_t>(node)].stamp;
   }
   const levels::View& levels() const { return levels_; }
+  // The form that roster pages are to be written in, by the active level.
+  int roster_form() const;
   // Of what stands, the share that has the active level's form.
   double converted() const;
   // All of it, and everything that was written before the level changed has been read.
@@ -118,9 +122,12 @@
   std::map<int, std::vector<std::string>> pages_;  // machines by page, or part of one
   std::unordered_map<std::string, int> page_of_;
   std::vector<std::map<int, wire::SheetRecord>> sheets_;
-  const wire::SheetJob* find(const wire::SheetRecord& r, const std::string& id) const;
+  // Every sheet's part about the job: thousands of sheets are not looked through for each poll.
+  void each_part(const std::string& id, const std::function<void(const wire::SheetJob&)>& f) const;
+  void put_sheet(int shard, int sheet, std::optional<wire::SheetRecord> r);
+  // By job: shard and sheet of each that names it, in that order.
+  std::unordered_map<std::string, std::set<std::pair<int, int>>> sheets_of_;
   void roster(int page, std::vector<wire::MachineRecord> now, std::vector<Change>& changes);
-  int roster_form() const;
   void level_set(const wire::Event& e);
   void level_gone(const std::string& key);
   std::vector<OwnerEntry> owners_;
