A token is acted on only by the process whose commit gave it; generated quick restarts

Need: the operators say that a process may be started again within a fraction of a second. A former self's hold and node key still stand then, and its commits may come after the new one has read. Found by generated restarts: two processes of one name (one that stood still, or was started twice) would both act under a token, since the owner key names the node only. Now its tag is looked at, which begins with the process's first hold; what is a former self's, or handed over, is taken by a commit of one's own first. A node key that another process has written over is written anew once a second at most.

--- a/src/front/membership.cpp
+++ b/src/front/membership.cpp
@@ -6,14 +6,20 @@
 #include "front/runner.h"
 
 namespace shunt::front {
+namespace {
+constexpr double kDisplacedGap = 1;  // between registrations over one that is not ours
+}  // namespace
 
 Membership::Membership(actor::Loop& loop, Parts& parts)
     : Actor(loop), parts_(parts), ownership_(parts.settings) {
   parts_.store->listen(reply<Changes>([this](Changes c) { changed(*c); }));
 }
 
+std::string Membership::tags() const {
+  return parts_.settings.node + "." + std::to_string(boot_) + ".";
+}
 std::string Membership::tag(char letter, std::uint64_t n) const {
-  return parts_.settings.node + "." + std::to_string(boot_) + "." + letter + std::to_string(n);
+  return tags() + letter + std::to_string(n);
 }
 
 void Membership::tick() {
@@ -62,7 +68,13 @@
                       }));
     return;
   }
-  if (!mine_ || parts_.store->world().node_stamp(parts_.settings.self) != mine_) register_node();
+  const std::uint64_t stands = parts_.store->world().node_stamp(parts_.settings.self);
+  // A former self's registration may come late, and another process may have been started under
+  // this name: the key is written anew, but two that do so must not fill the state service.
+  if ((!mine_ || stands != mine_) && (!stands || now >= displaced_after_)) {
+    displaced_after_ = now + kDisplacedGap;
+    register_node();
+  }
   if (now < renew_at_) return;
   hold_busy_ = true;
   renew_at_ = now + parts_.tuning.hold_s / 4;
@@ -97,7 +109,7 @@
                          if (r.kind == state::CommitResult::no_lease) hold_ = 0;
                          if (r.kind != state::CommitResult::applied) return;
                          mine_ = r.revision;
-                         ownership_.registered(r.revision);
+                         ownership_.registered(r.revision, tags());
                          observe();
                        }));
 }
--- a/src/front/membership.h
+++ b/src/front/membership.h
@@ -23,6 +23,7 @@
   std::uint64_t boot() const { return boot_; }
   // Names what this process writes; `letter` tells its parts apart, `n` is counted by each.
   std::string tag(char letter, std::uint64_t n) const;
+  std::string tags() const;  // what all of this process's names begin with
 
  private:
   void changed(const std::vector<state::Change>& changes);
@@ -36,7 +37,7 @@
   std::uint64_t hold_ = 0, boot_ = 0;
   std::uint64_t mine_ = 0;  // the stamp of the node key that this process wrote
   bool hold_busy_ = false, registering_ = false;
-  double renew_at_ = 0;
+  double renew_at_ = 0, displaced_after_ = 0;
 };
 
 }  // namespace shunt::front
--- a/src/shard/ownership.cpp
+++ b/src/shard/ownership.cpp
@@ -35,7 +35,8 @@
     m.guards.emplace_back(key, stamp);
   };
   if (o.node == self) {
-    if (o.stamp < registered_ || spent == o.stamp) {
+    if (o.stamp < registered_ || spent == o.stamp || !o.tag.starts_with(process_)) {
+      // A former self's, one whose desk is closed, or handed over: ours by our own commit first.
       take();
     } else if (w.revision() < o.stamp) {
       // Our own commit is known before what came just before it has been read: an earlier owner's
--- a/src/shard/ownership.h
+++ b/src/shard/ownership.h
@@ -1,6 +1,8 @@
 // Who owns which shard, decided from what the state service says. Pure.
 #pragma once
 #include <cstdint>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "config/settings.h"
@@ -20,8 +22,12 @@
  public:
   explicit Ownership(const config::Settings& s);
   // This process's own registration; ownership granted earlier belongs to a process that is gone.
-  void registered(std::uint64_t stamp) {
+  // `process`: what all its tags begin with, and no other process's. A token is acted on only by
+  // the process whose own commit gave it: a former self that stood still, or whose commits came
+  // late, has the same node's name. Empty: tags are not looked at.
+  void registered(std::uint64_t stamp, std::string process = {}) {
     if (!registered_) registered_ = stamp;
+    process_ = std::move(process);
   }
   void observe(const state::World& w, double now);
   // `spent`: the latest token whose desk this process has closed. The desk's attempts and its
@@ -32,6 +38,7 @@
  private:
   const config::Settings& settings_;
   std::uint64_t registered_ = 0;
+  std::string process_;
   std::vector<double> seen_since_, gone_since_;  // by node; -1: not so
 };
 
