Direct orders keep a quarter of the sockets at the most

Change: net::Pool, with so many clients at the most; one that has nothing out is closed for a new one. All desks of a process share a quarter of its sockets.

--- a/src/front/committing.cpp
+++ b/src/front/committing.cpp
@@ -9,11 +9,12 @@
 
 namespace shunt::front {
 namespace {
-constexpr double kCommitGap = 0.1;   // between two commits of a shard
-constexpr double kRetry = 0.3;       // before a transaction whose fate is not known is sent again
-constexpr double kStartFresh = 5;    // a start needs a read of the state service at most this old
-constexpr double kTxnWithin = 5;     // a transaction that could not be sent by then is made anew
-constexpr double kDirectWithin = 2;  // for an answer to a direct order
+constexpr double kCommitGap = 0.1;  // between two commits of a shard
+constexpr double kRetry = 0.3;      // before a transaction whose fate is not known is sent again
+constexpr double kStartFresh = 5;   // a start needs a read of the state service at most this old
+constexpr double kTxnWithin = 5;    // a transaction that could not be sent by then is made anew
+constexpr std::size_t kDirectShare = 4;  // of the sockets, one in so many is for direct orders
+constexpr double kDirectWithin = 2;      // for an answer to a direct order
 }  // namespace
 
 // ---- reports
@@ -89,30 +90,33 @@
     auto b = beyond_.find(name);
     return held_.contains(name) || (b != beyond_.end() && b->second > loop_.now());
   };
+  // All desks here share a quarter of the sockets: one controller that holds every shard still has
+  // them for every worker's report and every user.
+  std::size_t desks = 0;
+  for (const auto& r : parts_.runners) desks += r->desk() != nullptr;
+  const std::size_t most = std::max<std::size_t>(
+      1, static_cast<std::size_t>(parts_.settings.max_sockets) / kDirectShare / desks);
   for (auto& d : desk_->direct_orders(parts_.store->fresh(kStartFresh), skip, loop_.now())) {
-    auto& c = workers_[d.machine];
-    if (!c) {
-      config::Endpoint to;
-      auto colon = d.addr.rfind(':');
-      if (colon != std::string::npos) {
-        to.host = d.addr.substr(0, colon);
-        to.port = static_cast<std::uint16_t>(std::atoi(d.addr.c_str() + colon + 1));
-      }
-      c = std::make_unique<net::Client>(loop_, to, 1, 4);
+    config::Endpoint to;
+    auto colon = d.addr.rfind(':');
+    if (colon != std::string::npos) {
+      to.host = d.addr.substr(0, colon);
+      to.port = static_cast<std::uint16_t>(std::atoi(d.addr.c_str() + colon + 1));
     }
-    c->request("POST", "/orders", wire::encode_direct(desk_->token(), d.session, d.commands),
-               kDirectWithin, reply<net::Result>([this, d](net::Result r) {
-                 if (!desk_ || !desk_->has_machine(d.machine)) return;
-                 desk_->direct_done(d, r.status);
-                 if (r.status != 200 && r.status != 409) return;
-                 try {
-                   desk_->report(wire::decode_report(r.body), loop_.now(), true);
-                 } catch (const wire::Malformed& e) {
-                   ++garbage_;
-                   spdlog::info("garbage from {}: {}", d.machine, e.what());
-                 }
-                 pump();
-               }));
+    net::Client& c = workers_.at(d.machine, to, most);
+    c.request("POST", "/orders", wire::encode_direct(desk_->token(), d.session, d.commands),
+              kDirectWithin, reply<net::Result>([this, d](net::Result r) {
+                if (!desk_ || !desk_->has_machine(d.machine)) return;
+                desk_->direct_done(d, r.status);
+                if (r.status != 200 && r.status != 409) return;
+                try {
+                  desk_->report(wire::decode_report(r.body), loop_.now(), true);
+                } catch (const wire::Malformed& e) {
+                  ++garbage_;
+                  spdlog::info("garbage from {}: {}", d.machine, e.what());
+                }
+                pump();
+              }));
   }
 }
 
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -14,10 +14,9 @@
 }  // namespace
 
 Runner::Runner(actor::Loop& loop, Parts& parts, int shard)
-    : Actor(loop),
-      parts_(parts),
-      shard_(shard),
-      turn_timer_(loop, [this] { post([this] { turn(); }); }) {
+    : Actor(loop), parts_(parts), shard_(shard), workers_(loop), turn_timer_(loop, [this] {
+        post([this] { turn(); });
+      }) {
   parts_.store->listen(reply<Changes>([this](Changes c) { changed(*c); }));
 }
 
--- a/src/front/runner.h
+++ b/src/front/runner.h
@@ -10,7 +10,7 @@
 #include "fleet/desk.h"
 #include "front/parts.h"
 #include "front/store.h"
-#include "net/http.h"
+#include "net/pool.h"
 
 namespace shunt::front {
 
@@ -87,7 +87,7 @@
   // By machine: until when it counts as cut off from this node. No direct order is sent there,
   // which would hold up the start that its report's answer can bring.
   std::unordered_map<std::string, double> beyond_;
-  std::unordered_map<std::string, std::unique_ptr<net::Client>> workers_;  // by machine
+  net::Pool workers_;  // by machine
   std::uint64_t tags_ = 0, garbage_ = 0;
   bool turn_armed_ = false;
   actor::Timer turn_timer_;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -72,6 +72,8 @@
   Client(actor::Loop& loop, const config::Endpoint& to, std::size_t max_connections,
          std::size_t max_queue);
   ~Client();
+  // Nothing is on its way or waits.
+  bool idle() const { return busy_.empty() && queue_.empty(); }
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
   // An empty body on a GET. `method` is "GET", "POST" or "DELETE".
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -10,7 +10,7 @@
 #include <cstring>
 
 #include "loopback.h"
-#include "net/http.h"
+#include "net/pool.h"
 
 namespace shunt::test {
 namespace {
@@ -118,6 +118,33 @@
   EXPECT_NE(e.raw("GET /x HTTP/1.1\r\nHost: a\r\n\r\n").find("200 OK"), std::string::npos);
 }
 
+// One controller that held every shard of 1,812 machines reached its 3,129 sockets: a connection to
+// each worker for direct orders was kept beside the one that the worker reports by.
+TEST(Net, APoolKeepsSoManyConnectionsAndAnswersAllTheSame) {
+  Echo e;
+  net::Pool pool(e.loop);
+  int answered = 0;
+  for (int i = 0; i < 40; ++i) {
+    pool.at("m-" + std::to_string(i), e.at, 5)
+        .request("POST", "/x", "hello", 5, [&](net::Result r) { answered += r.status == 200; });
+    ASSERT_TRUE(e.until([&] { return answered == i + 1; }));
+    EXPECT_LE(pool.size(), 5u);
+  }
+  // What is busy is not closed for another one.
+  e.hold = true;
+  for (int i = 0; i < 8; ++i)
+    pool.at("h-" + std::to_string(i), e.at, 5)
+        .request("POST", "/x", "hello", 5, [&](net::Result r) { answered += r.status == 200; });
+  EXPECT_EQ(pool.size(), 8u);
+  ASSERT_TRUE(e.until([&] { return e.held.size() == 8; }));
+  for (auto& ex : e.held) ex->send({200, "{}", 0});
+  e.held.clear();
+  ASSERT_TRUE(e.until([&] { return answered == 48; }));
+  e.hold = false;
+  pool.at("last", e.at, 5);
+  EXPECT_LE(pool.size(), 5u);
+}
+
 TEST(Net, AClientGivesUpOnAServerThatIsNotThere) {
   actor::Loop loop;
   net::Client client(loop, {"127.0.0.1", free_port()}, 1, 1);
