--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -335,12 +335,12 @@
     const bool give = can_go(*m);
     if (m->rostered && !give) continue;
     const auto kind = give ? RosterWish::give : RosterWish::add;
-    if (asked(m->name, kind)) continue;
-    out.push_back(
-        {kind,
-         {m->name, common_.catalogue.types[m->type].spec.name, common_.settings.zones[m->zone],
-          m->spot, give ? m->giving : common_.shard, token, 0},
-         m->rented_at});
+    const int shard = give ? m->giving : common_.shard;
+    if (asked(m->name, kind, shard)) continue;
+    out.push_back({kind,
+                   {m->name, common_.catalogue.types[m->type].spec.name,
+                    common_.settings.zones[m->zone], m->spot, shard, token, 0},
+                   m->rented_at});
   }
   return out;
 }
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -112,7 +112,7 @@
 
   // Machines that another shard lacks, marked to go there once they are empty.
   std::vector<Machine*> give(int to, int machines);
-  using Asked = std::function<bool(const std::string& machine, RosterWish::Kind)>;
+  using Asked = std::function<bool(const std::string& machine, RosterWish::Kind, int shard)>;
   std::vector<RosterWish> roster_wishes(std::uint64_t token, const Asked& asked) const;
   // The shard that it is to go to now: it is marked for that, and nothing is on it or waits for it.
   // -1: none.
--- a/src/front/roster.cpp
+++ b/src/front/roster.cpp
@@ -90,11 +90,12 @@
   const double now = loop_.now();
   for (auto& r : parts_.runners)
     if (r->desk())
-      for (auto& w :
-           r->desk()->roster_wishes([this](const std::string&name, fleet::RosterWish::Kind kind) {
-             auto known = wishes_.find(name);
-             return known != wishes_.end() && known->second.kind == kind;
-           })) {
+      for (auto& w : r->desk()->roster_wishes(
+               [this](const std::string&name, fleet::RosterWish::Kind kind, int shard) {
+                 auto known = wishes_.find(name);
+                 return known != wishes_.end() && known->second.kind == kind &&
+                        known->second.machine.shard == shard;
+               })) {
         const std::string name = w.machine.name;
         if (w.kind == fleet::RosterWish::add)
           w.machine.rented_at = loop_.wall_now() - (now - w.rented_at);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -181,6 +181,10 @@
   auto t = config::parse_tuning("<shunttrail><lambda>3</lambda><ring>8</ring></shunttrail>");
   EXPECT_DOUBLE_EQ(t.lambda, 3);
   EXPECT_EQ(t.ring, 8);
+  EXPECT_FALSE(t.relay);
+  EXPECT_TRUE(config::parse_tuning("<shunttrail><relay>true</relay></shunttrail>").relay);
+  EXPECT_THROW(config::parse_tuning("<shunttrail><relay>1</relay></shunttrail>"),
+               config::BadSettings);
   EXPECT_THROW(config::parse_tuning("<shunttrail><lambda>1</lambda></shunttrail>"),
                config::BadSettings);
   EXPECT_THROW(config::parse_tuning("<shunttrail><lamda>2</lamda></shunttrail>"),
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -214,11 +214,12 @@
   EXPECT_EQ(d.desk->gives("m-1"), 5);
   EXPECT_EQ(d.desk->gives("m-2"), -1);
   // What the roster's actor has already is not handed out again.
-  EXPECT_TRUE(d.desk
-                  ->roster_wishes([](const std::string& name, fleet::RosterWish::Kind kind) {
-                    return name == "m-1" && kind == fleet::RosterWish::give;
-                  })
-                  .empty());
+  EXPECT_TRUE(
+      d.desk
+          ->roster_wishes([](const std::string& name, fleet::RosterWish::Kind kind, int shard) {
+            return name == "m-1" && kind == fleet::RosterWish::give && shard == 5;
+          })
+          .empty());
   d.desk = std::make_unique<fleet::Desk>(d.s, d.t, d.c, 0, d.desk->token(), 2, 8);
   d.desk->machine_known(*d.w.machine("m-1"), 2);
   EXPECT_EQ(d.desk->gives("m-1"), -1);
--- a/tests/local_test.cpp
+++ b/tests/local_test.cpp
@@ -126,6 +126,7 @@
 TEST(LocalSet, TheStateLevelIsRaisedHeldAndLowered) {
   Set set;
   set.start();
+  EXPECT_NE(set.ctl("links").second.find("passes reports on: switched off"), std::string::npos);
   auto levels = [&](const std::string& words) {
     return nlohmann::json::parse(set.ctl("levels --json " + words).second);
   };
@@ -233,6 +234,13 @@
   EXPECT_NE(faults(good + "begin run-1 0\n", {5}).find("torn"), std::string::npos);
 }
 
+// deploy/service.toml starts every controller with this file.
+TEST(LocalSettings, WhatIsOnInDeployIsGood) {
+  auto t = config::parse_tuning(
+      config::read_file(std::string(SHUNT_SOURCE) + "/deploy/run.xml", "deploy/run.xml"));
+  EXPECT_TRUE(t.relay);
+}
+
 TEST(LocalSettings, TheShippedFileIsGoodAndABadOneNamesThePlace) {
   std::ifstream in(std::string(SHUNT_SOURCE) + "/deploy/local.xml");
   std::ostringstream text;
