A team's limit of 0 is no limit: one place decides, a limit below a guarantee is refused

Cause: DEPLOY says that 0 means none; the door, the check before placing and the shares took it for a limit of nothing, and a deployment without limits accepted no job. Now the settings turn it into an infinite limit, of vcpus and of cards each by themselves, and amounts hold it without overflow. Test: NoLimitIsNotALimitOfNothing (fails before).

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fstream>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <numeric>
 #include <sstream>
@@ -68,6 +69,10 @@
   return find_name(zones, name, [](const std::string& s) { return s; });
 }
 
+double team_limit(double stated) {
+  return stated > 0 ? stated : std::numeric_limits<double>::infinity();
+}
+
 double Settings::stale_s() const { return std::max(2.0, cancel_s - lease_s - 3.0); }
 
 Settings parse_settings(const std::string& input) {
@@ -111,9 +116,11 @@
     Team t;
     t.name = text(teams[i], at, "name");
     t.cpus = number(teams[i], at, "cpus", 0);
-    t.cpus_max = number(teams[i], at, "cpus_max", 0);
+    t.cpus_max = team_limit(number(teams[i], at, "cpus_max", 0));
     t.gpus = number(teams[i], at, "gpus", 0);
-    t.gpus_max = number(teams[i], at, "gpus_max", 0);
+    t.gpus_max = team_limit(number(teams[i], at, "gpus_max", 0));
+    if (t.cpus_max < t.cpus) bad(at + ".cpus_max", "is below the guarantee");
+    if (t.gpus_max < t.gpus) bad(at + ".gpus_max", "is below the guarantee");
     if (s.team_index(t.name) >= 0) bad(at + ".name", "is used twice");
     s.teams.push_back(t);
   }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -18,10 +18,14 @@
   std::uint16_t port = 0;
 };
 
+// A team's guarantees, and the limits of what its tasks may use at any time. A limit that is not
+// set is infinite; the file says so by 0, of vcpus and of cards each by themselves (DEPLOY).
 struct Team {
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
 };
+// The limit that the file's number stands for.
+double team_limit(double stated);
 
 struct Settings {
   std::string node;
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -6,7 +6,10 @@
 namespace shunt::jobs {
 
 Amount Amount::of(double cpus, double gpus, double mem_gb) {
-  auto whole = [](double d) { return static_cast<std::int64_t>(std::llround(d * 1e6)); };
+  static constexpr double kMost = 1e18;  // what is not limited; sums of it and real amounts still fit
+  auto whole = [](double d) {
+    return static_cast<std::int64_t>(std::llround(std::min(d * 1e6, kMost)));
+  };
   return {whole(cpus), whole(gpus), whole(mem_gb)};
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -16,6 +16,7 @@
 // Amounts are kept whole, in millionths: sums of decimals must not drift past a limit.
 struct Amount {
   std::int64_t cpus = 0, gpus = 0, mem = 0;
+  // An infinite one stands for no limit, and is more than any sum.
   static Amount of(double cpus, double gpus, double mem_gb);
   Amount& operator+=(const Amount& o) {
     cpus += o.cpus, gpus += o.gpus, mem += o.mem;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -4,7 +4,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
+
 #include "config/settings.h"
+#include "jobs/job.h"
 #include "peer/peer.h"
 
 namespace shunt::wire {
@@ -177,6 +180,45 @@
   EXPECT_EQ(message(R"({"host_name":"a","zone":"z","front":"1.2.3.4:99999"})"),
             "front: has a bad port");
 }
+// A deployment whose teams have neither guarantees nor limits says so by 0, and every submission
+// was answered 422.
+TEST(Settings, NoLimitIsNotALimitOfNothing) {
+  auto with = [](const std::string& team) {
+    return config::parse_settings(
+        R"({"host_name":"a","zone":"z","front":"1.2.3.4:1","internal_addr":"1.2.3.4:2","siblings":[],
+"services":{"cloud":"1.2.3.4:3","state":"1.2.3.4:4"},"cluster":{"size":1,"zones":["z"],
+"teams":[{"name":"red",)" +
+        team + R"(}],"workers":{"report_s":3,"lease_s":20,"cancel_s":45},
+"state":{"rps":80,"write_rps":25,"value_kb":4,"txn_ops":12},"cloud":{"rps":6,"list_lag_s":3},
+"quota":{"cpu_share":0.1,"ram_mb":100,"max_sockets":100},"clock_off_ms":100}})");
+  };
+  auto message = [&](const std::string& team) {
+    try {
+      with(team);
+    } catch (const config::BadSettings& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  auto t = with(R"("cpus":0,"cpus_max":0,"gpus":0.0,"gpus_max":3)").teams[0];
+  EXPECT_TRUE(std::isinf(t.cpus_max));
+  EXPECT_EQ(t.gpus_max, 3);
+  // Cards each by themselves, and a guarantee without a limit.
+  t = with(R"("cpus":4,"cpus_max":8,"gpus":2,"gpus_max":0)").teams[0];
+  EXPECT_EQ(t.cpus_max, 8);
+  EXPECT_TRUE(std::isinf(t.gpus_max));
+  // No limit is more than any sum, and sums with it stay whole.
+  const auto most = jobs::Amount::of(t.gpus_max, t.gpus_max, 0);
+  EXPECT_GT(most.cpus, (jobs::Amount::of(1e9, 0, 0) + jobs::Amount::of(1e9, 0, 0)).cpus);
+  EXPECT_EQ(message(R"("cpus":4,"cpus_max":3,"gpus":0,"gpus_max":0)"),
+            "cluster.teams[0].cpus_max: is below the guarantee");
+  EXPECT_EQ(message(R"("cpus":4,"cpus_max":4,"gpus":2,"gpus_max":1)"),
+            "cluster.teams[0].gpus_max: is below the guarantee");
+  EXPECT_EQ(message(R"("cpus":-1,"cpus_max":0,"gpus":0,"gpus_max":0)"),
+            "cluster.teams[0].cpus: is out of range");
+  EXPECT_EQ(message(R"("cpus":0,"cpus_max":"x","gpus":0,"gpus_max":0)"),
+            "cluster.teams[0].cpus_max: is not a number");
+}
 TEST(Tuning, KnowsItsFieldsAndRanges) {
   auto t = config::parse_tuning("<shunttrail><lambda>3</lambda><ring>8</ring></shunttrail>");
   EXPECT_DOUBLE_EQ(t.lambda, 3);
