Machines are given in amounts that fit, never with replicas, and promises are taken back

Now a gift is an amount in vcpus, of machines that take what waits at the receiver; one with a replica is not promised; what is promised beyond the gift, and not empty yet, stays. An empty one may be on its way by a commit and is not taken back.

--- a/src/fleet/catalogue.cpp
+++ b/src/fleet/catalogue.cpp
@@ -32,6 +32,19 @@
     if (types[i].spec.name == name) return static_cast<int>(i);
   return -1;
 }
+bool Catalogue::takes(int tier, const wire::JobSpec& job, const Amount& need) const {
+  if (tier % 2 && !job.spot) return false;
+  const Type& t = types[static_cast<std::size_t>(tier / 2)];
+  if (job.types && std::find(job.types->begin(), job.types->end(), t.spec.name) == job.types->end())
+    return false;
+  return need.fits(t.room);
+}
+double Catalogue::units(int type) const {
+  const auto one = static_cast<double>(types.front().room.cpus);
+  return one > 0
+             ? static_cast<double>(types[static_cast<std::size_t>(type)].room.cpus) / one
+             : 1;
+}
 double Catalogue::rate(int tier) const {
   const auto& t = types[tier / 2].spec;
   return (tier % 2 ? t.spot_price : t.price) / 3600.0;
--- a/src/fleet/catalogue.h
+++ b/src/fleet/catalogue.h
@@ -24,6 +24,11 @@
   void load(const std::vector<wire::MachineType>& list, const config::Settings& s);
   int type_index(const std::string& name) const;
   double rate(int tier) const;  // price a second
+  // A task of the job may run on the tier's machines, as far as type, kind and size go.
+  bool takes(int tier, const wire::JobSpec& job, const jobs::Amount& need) const;
+  // What a machine of the type counts for where machines are shared out: in those of the first
+  // type, by vcpus.
+  double units(int type) const;
   bool empty() const { return types.empty(); }
 };
 
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -107,8 +107,8 @@
 void Desk::refused(const RentWish& w, std::size_t from, bool no_capacity, double now) {
   for (int n : machines_.refused(w, from, no_capacity, now)) remove_machine(n, now);
 }
-void Desk::give(int to, int machines) {
-  for (Machine* m : machines_.give(to, machines)) waiting_.empty(*m);
+void Desk::give(const Gift& gift) {
+  for (Machine* m : machines_.give(gift)) waiting_.empty(*m);
 }
 
 void Desk::lose(Machine& m) {
@@ -210,7 +210,7 @@
   shard::Load out;
   if (common_.catalogue.empty()) return out;
   const Amount one = common_.catalogue.types[0].room;
-  out.capacity = machines_.capacity(one);
+  out.capacity = machines_.capacity();
   const auto& teams = common_.settings.teams;
   std::vector<double> machines(teams.size(), 0), cpus(teams.size(), 0);
   for (const auto& [id, j] : common_.jobs) {
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -1,6 +1,7 @@
 #include "fleet/machines.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace shunt::fleet {
 
@@ -11,6 +12,7 @@
 constexpr std::size_t kImagesKept = 8;  // where a type does not tell its cache
 constexpr double kRefusedFor = 15;      // before asking again where the cloud had none
 constexpr std::size_t kRentMost = 50;   // machines a request
+constexpr std::size_t kFaulty = 2;      // jobs that a machine at fault has failed
 constexpr double kFaultPause = 5;       // before a machine that failed a task gets another
 }  // namespace
 
@@ -73,12 +75,7 @@
   return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
 }
 bool Machines::type_ok(const Job& j, int type, bool spot) const {
-  if (type < 0 || (spot && !j.spec.spot)) return false;
-  const auto& t = common_.catalogue.types[type];
-  if (j.spec.types &&
-      std::find(j.spec.types->begin(), j.spec.types->end(), t.spec.name) == j.spec.types->end())
-    return false;
-  return j.need.fits(t.room);
+  return type >= 0 && common_.catalogue.takes(2 * type + (spot ? 1 : 0), j.spec, j.need);
 }
 bool Machines::zone_ok(const Job& j, int zone) const {
   if (j.spec.zone && common_.settings.zone_index(*j.spec.zone) != zone) return false;
@@ -146,7 +143,7 @@
   ++m.faults;
   m.faulty_for.insert(job);
   m.avoid_until = now + kFaultPause;
-  if (m.faulty_for.size() >= 2) m.leaving = true;
+  if (m.faulty_for.size() >= kFaulty) m.leaving = true;
 }
 void Machines::task_done(Machine& m) {
   m.faults = 0;
@@ -286,33 +283,54 @@
 
 // ---- other shards
 
-// Idle ones at once, then the emptiest ones as soon as their tasks are over. Work spread thinly
-// over a surplus would leave hardly any machine idle.
-std::vector<Machine*> Machines::give(int to, int machines) {
-  for (const auto& [n, m] : all_) machines -= m->giving >= 0;
-  std::vector<Machine*> out, busy;
-  auto send = [&](Machine* m) {
-    m->leaving = true;
-    m->giving = to;
-    --machines;
-    out.push_back(m);
-  };
+double Machines::pledged() const {
+  double sum = 0;
+  for (const auto& [n, m] : all_)
+    if (m->giving >= 0 && m->type >= 0) sum += common_.catalogue.units(m->type);
+  return sum;
+}
+
+// Work goes on where a machine was to leave and is not wanted any more. Only one that is not empty
+// may stay: of an empty one the roster's commit may be on its way.
+void Machines::keep(Machine& m) {
+  if (m.giving < 0 || m.lost || m.returning || m.placed.list.empty()) return;
+  m.giving = -1;
+  m.leaving = m.faulty_for.size() >= kFaulty;
+  common_.stirred = true;
+}
+
+// Idle ones at once, then the emptiest ones as soon as their tasks are over: work spread thinly
+// over a surplus would leave hardly any machine idle. A machine with a replica is not promised: it
+// would stand half empty for as long as the service runs. Those that take most of what waits there
+// go first.
+std::vector<Machine*> Machines::give(const Gift& gift) {
+  double left = gift.amount;
+  std::vector<Machine*> out, mine;
+  auto units = [&](const Machine& m) { return common_.catalogue.units(m.type); };
+  for (auto& [n, m] : all_) {
+    if (m->giving != gift.to || m->type < 0) continue;
+    if (left < units(*m)) keep(*m);
+    if (m->giving == gift.to) left -= units(*m);
+  }
+  auto useful = [&](const Machine& m) { return gift.useful[static_cast<std::size_t>(m.tier())]; };
   for (auto& [n, m] : all_) {
-    if (m->state != Machine::up || !m->rostered || m->leaving || m->draining || m->type < 0)
+    if (m->state != Machine::up || !m->rostered || m->leaving || m->draining || m->type < 0 ||
+        units(*m) > left + 1e-9 || useful(*m) <= 0)
       continue;
-    if (m->was_idle) {
-      if (machines > 0) send(m.get());
-    } else {
-      busy.push_back(m.get());
-    }
+    if (std::none_of(m->placed.list.begin(), m->placed.list.end(),
+                     [](const Placement& p) { return p.job->spec.service && !p.released; }))
+      mine.push_back(m.get());
   }
-  if (machines <= 0) return out;
-  std::stable_sort(busy.begin(), busy.end(), [](const Machine* a, const Machine* b) {
-    return a->placed.used.cpus < b->placed.used.cpus;
+  std::stable_sort(mine.begin(), mine.end(), [&](const Machine* a, const Machine* b) {
+    return std::tuple(!a->was_idle, a->placed.used.cpus, -useful(*a)) <
+           std::tuple(!b->was_idle, b->placed.used.cpus, -useful(*b));
   });
-  for (Machine* m : busy) {
-    if (machines <= 0) break;
-    send(m);
+  for (Machine* m : mine) {
+    if (units(*m) > left + 1e-9) continue;
+    m->leaving = true;
+    m->giving = gift.to;
+    left -= units(*m);
+    out.push_back(m);
   }
   return out;
 }
@@ -345,11 +363,10 @@
   return out;
 }
 
-double Machines::capacity(const Amount& one) const {
+double Machines::capacity() const {
   double sum = 0;
   for (const auto& [n, m] : all_)
-    if (m->type >= 0 && !m->leaving && !m->draining)
-      sum += share_of({common_.catalogue.types[m->type].room.cpus, 0, 0}, one);
+    if (m->type >= 0 && !m->leaving && !m->draining) sum += common_.catalogue.units(m->type);
   return sum;
 }
 
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -59,6 +59,13 @@
   double rented_at = 0;  // add: by the steady clock
 };
 
+// What a shard has to give to another one.
+struct Gift {
+  int to = 0;
+  double amount = 0;           // in machines of the first type, by vcpus
+  std::vector<double> useful;  // by tier: how much of what waits there it takes
+};
+
 class Machines {
  public:
   using Ptr = std::unique_ptr<Machine>;
@@ -110,17 +117,20 @@
   std::vector<std::string> returns();
   void return_failed(const std::string& name);
 
-  // Machines that another shard lacks, marked to go there once they are empty.
-  std::vector<Machine*> give(int to, int machines);
+  // Machines that another shard lacks, marked to go there once they are empty: so much in all, what
+  // is marked already included. What is marked beyond that stays, unless it is empty already.
+  std::vector<Machine*> give(const Gift& gift);
+  double pledged() const;  // marked to go, in machines of the first type
   using Asked = std::function<bool(const std::string& machine, RosterWish::Kind, int shard)>;
   std::vector<RosterWish> roster_wishes(std::uint64_t token, const Asked& asked) const;
   // The shard that it is to go to now: it is marked for that, and nothing is on it or waits for it.
   // -1: none.
   int gives(const std::string& name) const;
-  double capacity(const jobs::Amount& one) const;  // in machines of this size
+  double capacity() const;  // in machines of the first type: up or booting, and staying
 
  private:
   Machine& add();
+  void keep(Machine& m);
 
   Common& common_;
   int next_number_ = 1;
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "front/cloud.h"
 #include "front/levels.h"
 #include "front/membership.h"
 #include "front/runner.h"
@@ -99,13 +100,37 @@
     all.push_back(l.load);
   }
   for (int k = 0; k < parts_.settings.shards(); ++k) {
-    if (!parts_.runner(k).desk() || now < gave_at_[k] + kGiveGap) continue;
-    auto gifts = shard::gifts(all, k);
-    auto most = std::max_element(gifts.begin(), gifts.end());
-    if (*most <= 0) continue;
+    const fleet::Desk* desk = parts_.runner(k).desk();
+    if (!desk || now < gave_at_[k] + kGiveGap) continue;
     gave_at_[k] = now;
-    parts_.runner(k).give(static_cast<int>(most - gifts.begin()), *most);
+    // What is marked to go already is part of what there is to give.
+    auto loads = all;
+    const double pledged = desk->pledged();
+    loads[static_cast<std::size_t>(k)].capacity += pledged;
+    auto gifts = shard::gifts(loads, k);
+    for (int to = 0; to < parts_.settings.shards(); ++to)
+      if (const int n = gifts[static_cast<std::size_t>(to)]; to != k && (n > 0 || pledged > 0))
+        parts_.runner(k).give({to, static_cast<double>(n), waiting(to)});
   }
 }
 
+// By tier, how many vcpus of a shard's work that stands nowhere yet it could take.
+std::vector<double> Peers::waiting(int shard) const {
+  const fleet::Catalogue& c = parts_.cloud->catalogue();
+  const state::World& world = parts_.store->world();
+  std::vector<double> out(c.types.size() * 2, 0);
+  for (const auto& [id, j] : world.jobs()) {
+    const wire::JobSpec& spec = j.record.spec;
+    const int team = parts_.settings.team_index(spec.team);
+    if (team < 0 || parts_.settings.team_shard[static_cast<std::size_t>(team)] != shard) continue;
+    const auto p = world.progress(j, jobs::kChunk);
+    if (p.done + p.placed >= spec.tasks) continue;
+    const auto need = jobs::Amount::of(spec.cpus, spec.gpus, spec.mem_gb);
+    const double amount = static_cast<double>(spec.tasks - p.done - p.placed) * spec.cpus;
+    for (std::size_t tier = 0; tier < out.size(); ++tier)
+      if (c.takes(static_cast<int>(tier), spec, need)) out[tier] += amount;
+  }
+  return out;
+}
+
 }  // namespace shunt::front
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -27,6 +27,7 @@
   void take(const net::ExchangePtr& ex);
   void beat();
   void share_out();
+  std::vector<double> waiting(int shard) const;
 
   Parts& parts_;
   std::vector<std::unique_ptr<net::Client>> clients_;  // by node; none: this one
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -40,9 +40,9 @@
     stir();
   });
 }
-void Runner::give(int to, int machines) {
-  post([this, to, machines] {
-    if (desk_) desk_->give(to, machines);
+void Runner::give(fleet::Gift gift) {
+  post([this, gift = std::move(gift)] {
+    if (desk_) desk_->give(gift);
     stir();
   });
 }
--- a/src/front/runner.h
+++ b/src/front/runner.h
@@ -28,8 +28,8 @@
   // `passed_on`: by a sibling, since the worker does not reach this node.
   void report(net::ExchangePtr ex, wire::Report r, bool passed_on = false);
   void urgency(std::string job, wire::Priority priority, double due);
-  // Another shard lacks so many machines.
-  void give(int to, int machines);
+  // Another shard lacks machines.
+  void give(fleet::Gift gift);
 
   // What the cloud is to be asked for. Answers name the desk by the token it was opened under: for
   // another one they come too late.
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -63,13 +63,12 @@
   double n = s.service || s.gang ? s.tasks : 1;  // what must run at the same time
   auto over = [](double want, double limit) { return want > limit + 1e-9; };
   if (over(s.cpus * n, team.cpus_max) || over(s.gpus * n, team.gpus_max)) return 422;
-  for (const auto& type : parts_.cloud->catalogue().types) {
-    if (s.types && std::find(s.types->begin(), s.types->end(), type.spec.name) == s.types->end())
-      continue;
-    if (s.zone &&
-        std::find(type.spec.zones.begin(), type.spec.zones.end(), *s.zone) == type.spec.zones.end())
-      continue;
-    if (jobs::Amount::of(s.cpus, s.gpus, s.mem_gb).fits(type.room)) return 0;
+  const fleet::Catalogue& c = parts_.cloud->catalogue();
+  const auto need = jobs::Amount::of(s.cpus, s.gpus, s.mem_gb);
+  for (std::size_t i = 0; i < c.types.size(); ++i) {
+    const auto& zones = c.types[i].spec.zones;
+    if (s.zone && std::find(zones.begin(), zones.end(), *s.zone) == zones.end()) continue;
+    if (c.takes(2 * static_cast<int>(i), s, need)) return 0;
   }
   return 422;
 }
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -188,7 +188,7 @@
   d.job(make_job(1, 1, 1));
   d.beat("m-1", 1);
   d.beat("m-2", 1);
-  d.desk->give(5, 1);
+  d.desk->give({5, 1, {1, 1}});
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].kind, fleet::RosterWish::give);
@@ -209,7 +209,7 @@
   OneDesk d;
   d.machine("m-1");
   d.beat("m-1", 1);
-  d.desk->give(5, 1);
+  d.desk->give({5, 1, {1, 1}});
   EXPECT_EQ(d.desk->roster_wishes().size(), 1u);
   EXPECT_EQ(d.desk->gives("m-1"), 5);
   EXPECT_EQ(d.desk->gives("m-2"), -1);
@@ -225,10 +225,72 @@
   EXPECT_EQ(d.desk->gives("m-1"), -1);
   d.job(make_job(1, 1, 1));
   d.beat("m-1", 2);
-  d.desk->give(5, 1);  // marked, but not empty
+  d.desk->give({5, 1, {1, 1}});  // marked, but not empty
   EXPECT_EQ(d.desk->gives("m-1"), -1);
 }
 
+// Services were promised along with their machines, which stood half empty for minutes, closed to
+// new work: guimaraes-montagem had 4,000 vcpus like that. And a promise outlived the lack.
+TEST(Desk, AMachineWithAReplicaIsNotPromisedAndAPromiseNotWantedIsTakenBack) {
+  OneDesk d;
+  d.machine("m-1");
+  auto service = make_job(1, 1, 1);
+  service.spec.service = true;
+  d.job(service);
+  d.beat("m-1", 1);
+  d.commit(1);
+  d.machine("m-2");
+  d.beat("m-2", 2);
+  auto array = make_job(2, 1, 4);
+  d.job(array);
+  d.commit(2);
+  d.desk->give({5, 2, {1, 1}});
+  EXPECT_EQ(d.desk->pledged(), 1);  // m-2 alone, once its task is over
+  EXPECT_EQ(d.desk->load(2).capacity, 1);
+  d.desk->give({5, 0, {1, 1}});
+  EXPECT_EQ(d.desk->pledged(), 0);
+  EXPECT_EQ(d.desk->load(2).capacity, 2);
+  // What nothing there could use is not given.
+  d.machine("m-3");
+  d.beat("m-3", 3);
+  d.desk->give({5, 1, {0, 0}});
+  EXPECT_EQ(d.desk->pledged(), 0);
+  // An empty one may be on its way already: it is not taken back.
+  d.desk->give({5, 1, {1, 1}});
+  EXPECT_EQ(d.desk->gives("m-3"), 5);
+  d.desk->give({5, 0, {1, 1}});
+  EXPECT_EQ(d.desk->gives("m-3"), 5);
+}
+
+// Gifts were counted in machines: eight of the largest went for what two would have done.
+TEST(Desk, GiftsAreCountedInWhatFitsNotInMachines) {
+  OneDesk d;
+  d.c.load({{"t4", 4, 0, 16, 0.4, 0.1, 10, {"a", "b"}}, {"t16", 16, 0, 64, 1.6, 0.4, 10, {"a"}}},
+           d.s);
+  std::uint64_t seq = 0;
+  for (int i = 1; i <= 4; ++i) {
+    const std::string name = "m-" + std::to_string(i), type = i == 2 ? "t4" : "t16";
+    wire::MachineRecord m{name, type, "a", false, 0, 0};
+    d.store.commit(roster_txn(d.w, {m}));
+    d.read();
+    d.desk->machine_known(m, 0);
+    wire::Report r;
+    r.machine = name;
+    r.addr = "10.0.0.1:1";
+    r.type = type;
+    r.zone = "a";
+    r.session = 1;
+    r.seq = ++seq;
+    r.token = d.desk->token();
+    d.desk->report(r, 1);
+  }
+  EXPECT_EQ(d.desk->load(1).capacity, 13);
+  d.desk->give({5, 3, {1, 1, 1, 1}});
+  EXPECT_EQ(d.desk->pledged(), 1);
+  d.desk->give({5, 9, {1, 1, 1, 1}});
+  EXPECT_EQ(d.desk->pledged(), 9);
+}
+
 // A grown deployment starts far more tasks a second than the state service takes changes: one
 // change must carry the starts of many machines, and a sheet must stay within the value's limit.
 TEST(Desk, ManyStartsShareAChangeAndSheetsStayWithinTheLimit) {
@@ -399,7 +461,7 @@
   d.beat("m-1", 1);
   d.job(make_job(1, 2, 1));
   d.commit(2);
-  d.desk->give(1, 1);
+  d.desk->give({1, 1, {1, 1}});
   EXPECT_TRUE(d.beat("m-1", 3).empty());
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
