A replica's cost is recorded when it starts running

Cause: a finish cost is recorded when a task is done; a service has no end, so its arms stayed untried for ever and the first one, Accept, was taken on full machines too (docs/design.md X7). Its cost is told when it is first seen running, with a run of 60 s.

--- a/src/fleet/placements.cpp
+++ b/src/fleet/placements.cpp
@@ -16,6 +16,8 @@
 constexpr double kBackoff = 5, kBackoffMost = 60;
 constexpr double kUnknownPause = 3;  // its description may still be on its way
 constexpr double kFullPause = 1;
+// The run time that a replica's cost counts: as long as it keeps others from its room at least.
+constexpr double kReplicaRun = 60;
 }  // namespace
 
 Placements::Placements(Common& common, Machines& machines, std::uint64_t token, double now)
@@ -73,7 +75,7 @@
   part(j.need.mem, type.room.mem);
   double weight = kPriorityWeight[static_cast<int>(j.priority)] * common_.catalogue.base_rate;
   double started = p.started > 0 ? p.started : now;
-  double cost = rate * share * (now - started);
+  double cost = rate * share * (j.spec.service ? kReplicaRun : now - started);
   if (p.item.rented) cost += rate * type.spec.boot_s;
   cost += common_.tuning.wait_weight * weight * std::max(0.0, started - p.item.since);
   if (now > j.due) cost += common_.tuning.late_weight * weight;
@@ -236,7 +238,11 @@
     if (p.state != RunState::exited || !p.released) {
       p.state = t.state;
       p.why = t.why;
-      if (t.state == RunState::running && p.started == 0) p.started = now;
+      if (t.state == RunState::running && p.started == 0) {
+        p.started = now;
+        // A replica has no end to record its cost at.
+        if (p.job->spec.service && !p.inherited && m.type >= 0) record_cost(p, m, now);
+      }
       if (t.state == RunState::exited && !p.released) exited(m, p, now);
     }
     if (t.state != RunState::exited && !p.job->gone) machines_.note_image(m, p.job->image);
