Work below guarantees is served by when it should start, not first come

Cause: with the whole fleet rented and a backlog of a minute, first come, first served kept arrays of 35 s, due in 115 s, behind arrays of 150 s, due in 460 s (docs/design.md X8). Standard and idle work goes by its latest start now, capped by a patience of 120 s, so nothing is passed over for longer. Urgent and guaranteed work stays first come, first served.

--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -26,6 +26,16 @@
       rng_(seed),
       waiting_(common.settings.teams.size()) {}
 
+// Urgent and guaranteed work is served first come, first served; the rest by when it should start.
+bool Waiting::ranked(int band) { return band > Job::kGuaranteed; }
+std::uint64_t Waiting::place_of(const Job& j, int band) {
+  const std::uint64_t n = next_order_++;
+  if (!ranked(band)) return n;
+  constexpr double kOrigin = 1e6;  // earlier than any start, before this process as well
+  const auto ms = static_cast<std::uint64_t>((std::max(j.latest_start(), -kOrigin) + kOrigin) * 1e3);
+  return ms << 24 | (n & 0xffffff);
+}
+
 bool Waiting::quota_ok(const Job& j, bool with_waiting) const {
   const auto& t = common_.settings.teams[j.team];
   Amount limit = Amount::of(t.cpus_max, t.gpus_max, 0);
@@ -256,7 +266,7 @@
     if (!j->pending.empty() && j->not_before <= now) order.push_back(j);
   std::sort(order.begin(), order.end(), [](const JobPtr& a, const JobPtr& b) {
     if (a->band() != b->band()) return a->band() < b->band();
-    return a->since < b->since;
+    return ranked(a->band()) ? a->latest_start() < b->latest_start() : a->since < b->since;
   });
   std::size_t walks = 0;
   // What found no place this turn: another job of the same shape finds none either.
@@ -279,8 +289,8 @@
       i.job = j;
       i.task = task;
       i.since = now;
-      i.order = next_order_++;
       i.band = j->band();
+      i.order = place_of(*j, i.band);
       const Key key = i.key();
       bool none = false;
       const bool entered = enter(std::move(i), now, plain && crowded.contains(shape), &none);
@@ -392,7 +402,10 @@
   while (next != all_.end() && walks < kPullsPerReport) {
     if (machines_.room(m).cpus <= 0) return;
     auto [key, number] = *next++;
-    if (!m.queue.items.empty() && key.first >= m.queue.items.front().key().first) return;
+    if (!m.queue.items.empty()) {
+      const Key own = m.queue.items.front().key();
+      if (ranked(key.first) ? key >= own : key.first >= own.first) return;
+    }
     Machine* from = machines_.at(number);
     if (!from || from == &m) continue;
     auto it = std::find_if(from->queue.items.begin(), from->queue.items.end(),
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -53,6 +53,8 @@
   void note_guarantees();
   void listed(Machine& m, const Item& i, bool yes);  // keeps the counts of waiting tasks
   bool quota_ok(const jobs::Job& j, bool with_waiting) const;
+  static bool ranked(int band);
+  std::uint64_t place_of(const jobs::Job& j, int band);  // among those of its band
 
   Common& common_;
   Machines& machines_;
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -64,6 +64,11 @@
   return false;
 }
 
+double Job::latest_start() const {
+  constexpr double kPatience = 120;
+  return std::min(due - spec.estimate_s, since + kPatience);
+}
+
 bool Job::zone_ok(int zone) const {
   if (spec.one_zone)
     for (std::size_t z = 0; z < in_zone.size(); ++z)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -60,6 +60,9 @@
     return within ? kGuaranteed : static_cast<int>(priority) + 1;
   }
   static constexpr int kGuaranteed = static_cast<int>(wire::Priority::high) + 1;
+  // Steady time by which its tasks should start: what has no deadline, or a far one, is not passed
+  // over for longer than a patience.
+  double latest_start() const;
 
   void load_done(std::uint32_t chunk, const state::Intervals& list);  // as persisted
   bool mark_done(std::uint32_t task);                                 // false if known already
