--- a/src/fleet/common.h
+++ b/src/fleet/common.h
@@ -15,7 +15,7 @@
 struct Counters {
   std::uint64_t reports = 0, stale_reports = 0, starts = 0, direct = 0, dones = 0, errors = 0,
                 lost = 0, rents = 0, given = 0, preempted = 0, refused = 0, returns = 0,
-                replaced = 0, commits = 0, commit_failures = 0;
+                replaced = 0, emptied = 0, commits = 0, commit_failures = 0;
 };
 
 struct Common {
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -19,6 +19,8 @@
       placements_(common_, machines_, token, now),
       sheets_(common_, machines_, placements_),
       waiting_(common_, machines_, placements_, seed),
+      packing_(common_, machines_, placements_),
+      doubts_(common_, machines_),
       last_heard_(now) {}
 
 // ---- jobs
@@ -114,12 +116,20 @@
 void Desk::lose(Machine& m) {
   if (machines_.lose(m)) ++common_.count.replaced;
 }
+void Desk::probed(const std::string& name, bool answered, double now) {
+  Machine* m = machines_.find(name);
+  if (!m || !doubts_.answered(*m, answered, now)) return;
+  lose(*m);
+  waiting_.empty(*m);
+}
 void Desk::machine_failed(const std::string& name, bool unlisted, double now) {
   Machine* m = machines_.find(name);
   if (!m || m->lost) return;
-  // Lists lag: a machine that is missing from one is lost only if it is silent as well.
-  if (unlisted && (m->state != Machine::up || now - m->last_report < 2 * common_.settings.report_s))
-    return;
+  // Lists lag: a machine that is missing from one is lost only if it is silent as well, for longer
+  // than a list can be old. Whether this owner has ever heard it does not matter: one that was
+  // taken just before a takeover would hold its tasks until the fence is over.
+  const auto& s = common_.settings;
+  if (unlisted && now - m->last_report < std::max(2 * s.report_s, 3 * s.list_lag_s + 2)) return;
   lose(*m);
   waiting_.empty(*m);
 }
@@ -178,6 +188,7 @@
     if (m->type >= 0) look_at(*m, hear, now);
   }
   for (int n : withdrawn) remove_machine(n, now);
+  if (waiting_.quiet()) packing_.look(now);
 }
 
 void Desk::look_at(Machine& m, bool hear, double now) {
@@ -283,6 +294,7 @@
                         {"refused", common_.count.refused},
                         {"returns", common_.count.returns},
                         {"replaced", common_.count.replaced},
+                        {"emptied", common_.count.emptied},
                         {"commits", common_.count.commits},
                         {"commit_failures", common_.count.commit_failures}}
       .dump();
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include "fleet/common.h"
+#include "fleet/doubts.h"
 #include "fleet/machines.h"
+#include "fleet/packing.h"
 #include "fleet/placements.h"
 #include "fleet/sheets.h"
 #include "fleet/waiting.h"
@@ -70,6 +72,9 @@
     return placements_.direct_orders(fresh, skip, now);
   }
   void direct_done(const Direct& d, int status) { placements_.direct_done(d, status); }
+  // Silent machines to be asked whether they live, and whether they did.
+  std::vector<Probe> probes(double now) { return doubts_.probes(now); }
+  void probed(const std::string& machine, bool answered, double now);
   bool wants_raise(double now) const { return placements_.wants_raise(now); }
   void raise(std::uint64_t token, double now) { placements_.raise(token, now); }
 
@@ -118,6 +123,8 @@
   Placements placements_;
   Sheets sheets_;
   Waiting waiting_;
+  Packing packing_;
+  Doubts doubts_;
   std::unordered_map<std::string, int> classes_, images_;  // names to dense indices
   double last_heard_ = 0;
 };
--- /dev/null
+++ b/src/fleet/doubts.h
@@ -0,0 +1,39 @@
+// Machines with replicas that have gone silent: whether they are dead is found out by asking them,
+// long before silence alone is a proof. One that is given up on is deleted, and the deletion's
+// answer is the proof that its tasks are gone (docs/safety.md). Pure.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "fleet/common.h"
+#include "fleet/machines.h"
+
+namespace shunt::fleet {
+
+// A machine to be asked for its state (GET /status).
+struct Probe {
+  std::string machine, addr;
+};
+
+class Doubts {
+ public:
+  Doubts(Common& common, Machines& machines)
+      : common_(common), machines_(machines), reached_(common.settings.zones.size(), -1e9) {}
+
+  // Each is answered by `answered`.
+  std::vector<Probe> probes(double now);
+  // True: it has not answered, again, and is to be given up on.
+  bool answered(Machine& m, bool yes, double now);
+
+ private:
+  bool silent(const Machine& m, double now) const;
+  bool quiet(const Machine& m, double now) const;
+  bool zone_heard(int zone, double now) const;
+
+  Common& common_;
+  Machines& machines_;
+  std::vector<double> reached_;   // by zone: when a machine there answered last
+  std::vector<double> given_up_;  // when, lately
+};
+
+}  // namespace shunt::fleet
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -42,6 +42,9 @@
   bool was_idle = false;
   std::set<std::string> faulty_for;
   int faults = 0;
+  bool probe_out = false;  // asked whether it lives, since it is silent
+  int unanswered = 0;      // how often in a row it has not answered that
+  double probe_after = 0, alive_at = 0;  // when it answered it last
   int tier() const { return 2 * type + (spot ? 1 : 0); }
   // Something may be placed here, as far as the machine itself goes.
   bool open(double now) const { return state == up && !leaving && !draining && avoid_until <= now; }
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -112,7 +112,7 @@
       out.push_back({m->name, m->addr, std::max<std::uint64_t>(m->placed.session, 1), {}});
       continue;
     }
-    if (m->state != Machine::up || m->placed.direct_out || m->leaving || m->placed.token > token_ ||
+    if (m->state != Machine::up || m->placed.direct_out || m->placed.token > token_ ||
         now - m->last_report > 2 * common_.settings.report_s || skip(m->name))
       continue;
     Direct d{m->name, m->addr, m->placed.session, {}};
@@ -124,8 +124,8 @@
             {Command::Op::stop, {p.job->spec.id, p.task}, p.attempt, stop_grace(*p.job)});
         continue;
       }
-      if (p.phase != Phase::committed || p.released || p.seen || p.inherited || p.sent ||
-          p.job->gone || p.job->done(p.task) || p.loose)
+      if (m->leaving || p.phase != Phase::committed || p.released || p.seen || p.inherited ||
+          p.sent || p.job->gone || p.job->done(p.task) || p.loose)
         continue;
       p.sent = p.direct = true;
       p.loose = token_;
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -253,6 +253,11 @@
   }
 }
 
+bool Waiting::quiet() const {
+  return all_.empty() && std::all_of(common_.jobs.begin(), common_.jobs.end(),
+                                     [](const auto& j) { return j.second->pending.empty(); });
+}
+
 // New and returning tasks enter the chain: the more urgent job first, then the older one.
 void Waiting::admit(double now) {
   // A job that has come, or some work done, moves who is within a guarantee; not every turn does.
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -15,6 +15,8 @@
  public:
   Waiting(Common& common, Machines& machines, Placements& placements, std::uint64_t seed);
 
+  // Nothing waits, in the chain or before it.
+  bool quiet() const;
   // Tasks with no place and not in the chain enter it.
   void admit(double now);
   // A machine reports room, or has been given some: its list is served, and urgent tasks that wait
--- a/src/front/committing.cpp
+++ b/src/front/committing.cpp
@@ -90,20 +90,8 @@
     auto b = beyond_.find(name);
     return held_.contains(name) || (b != beyond_.end() && b->second > loop_.now());
   };
-  // All desks here share a quarter of the sockets: one controller that holds every shard still has
-  // them for every worker's report and every user.
-  std::size_t desks = 0;
-  for (const auto& r : parts_.runners) desks += r->desk() != nullptr;
-  const std::size_t most = std::max<std::size_t>(
-      1, static_cast<std::size_t>(parts_.settings.max_sockets) / kDirectShare / desks);
   for (auto& d : desk_->direct_orders(parts_.store->fresh(kStartFresh), skip, loop_.now())) {
-    config::Endpoint to;
-    auto colon = d.addr.rfind(':');
-    if (colon != std::string::npos) {
-      to.host = d.addr.substr(0, colon);
-      to.port = static_cast<std::uint16_t>(std::atoi(d.addr.c_str() + colon + 1));
-    }
-    net::Client& c = workers_.at(d.machine, to, most);
+    net::Client& c = worker(d.machine, d.addr);
     c.request("POST", "/orders", wire::encode_direct(desk_->token(), d.session, d.commands),
               kDirectWithin, reply<net::Result>([this, d](net::Result r) {
                 if (!desk_ || !desk_->has_machine(d.machine)) return;
@@ -120,6 +108,34 @@
   }
 }
 
+// A silent machine is asked whether it lives. Nothing is concluded while this node may be the one
+// that is cut off.
+void Runner::send_probes() {
+  if (!desk_ || !parts_.store->fresh(kStartFresh)) return;
+  for (const auto& p : desk_->probes(loop_.now()))
+    worker(p.machine, p.addr)
+        .request("GET", "/status", "", kDirectWithin,
+                 reply<net::Result>([this, born = desk_->born(), p](net::Result r) {
+                   if (is(born)) desk_->probed(p.machine, r.status == 200, loop_.now());
+                 }));
+}
+
+// All desks here share a quarter of the sockets: one controller that holds every shard still has
+// them for every worker's report and every user.
+net::Client& Runner::worker(const std::string& machine, const std::string& addr) {
+  std::size_t desks = 0;
+  for (const auto& r : parts_.runners) desks += r->desk() != nullptr;
+  const std::size_t most = std::max<std::size_t>(
+      1, static_cast<std::size_t>(parts_.settings.max_sockets) / kDirectShare / desks);
+  config::Endpoint to;
+  auto colon = addr.rfind(':');
+  if (colon != std::string::npos) {
+    to.host = addr.substr(0, colon);
+    to.port = static_cast<std::uint16_t>(std::atoi(addr.c_str() + colon + 1));
+  }
+  return workers_.at(machine, to, most);
+}
+
 // ---- group commits
 
 void Runner::pump() {
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -28,6 +28,7 @@
   post([this] {
     if (!desk_) return;
     desk_->tick(loop_.now());
+    send_probes();
     turn();
   });
 }
--- a/src/front/runner.h
+++ b/src/front/runner.h
@@ -64,6 +64,8 @@
   void turn();
   void pump();
   void send_direct();
+  void send_probes();
+  net::Client& worker(const std::string& machine, const std::string& addr);
   void txn_done(std::uint64_t born, state::CommitResult r);
   void look_up(std::uint64_t born);
   void txn_settled(bool applied);
