--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t kImagesKept = 8;  // where a type does not tell its cache
 constexpr double kRefusedFor = 15;      // before asking again where the cloud had none
 constexpr std::size_t kRentMost = 50;   // machines a request
+constexpr std::size_t kGrantLeast = 2;  // machines ordered where the cloud has refused; grows
 constexpr std::size_t kFaulty = 2;      // jobs that a machine at fault has failed
 constexpr double kFaultPause = 5;       // before a machine that failed a task gets another
 }  // namespace
@@ -89,14 +90,21 @@
   const auto& settings = common_.settings;
   const auto& type = common_.catalogue.types[tier / 2];
   std::vector<int> have(settings.zones.size(), 0);
-  for (const auto& [n, m] : all_)
-    if (m->zone >= 0) ++have[m->zone];
+  std::vector<std::size_t> ordered(settings.zones.size(), 0);
+  for (const auto& [n, m] : all_) {
+    if (m->zone < 0) continue;
+    ++have[m->zone];
+    ordered[m->zone] += m->state == Machine::ordered && m->tier() == tier;
+  }
   int best = -1;
   for (std::size_t z = 0; z < settings.zones.size(); ++z) {
     int zone = static_cast<int>(z);
     if (!type.in_zone[z] || !zone_ok(j, zone)) continue;
     auto r = refused_until_.find({tier, zone});
     if (r != refused_until_.end() && r->second > now) continue;
+    // Hundreds of tasks that join orders which come to nothing walk the chain for nothing.
+    auto g = grant_.find({tier, zone});
+    if (g != grant_.end() && ordered[z] >= g->second) continue;
     if (best < 0 || have[z] < have[best]) best = zone;
   }
   return best;
@@ -227,6 +235,8 @@
 std::vector<int> Machines::rented(const RentWish& w, const std::vector<std::string>& names,
                                   double now) {
   asking_.erase({w.tier, w.zone});
+  if (auto g = grant_.find({w.tier, w.zone}); g != grant_.end() && (g->second *= 4) > kRentMost)
+    grant_.erase(g);
   std::vector<int> nothing;
   std::size_t i = 0;
   for (; i < names.size(); ++i) {
@@ -259,7 +269,10 @@
 std::vector<int> Machines::refused(const RentWish& w, std::size_t from, bool no_capacity,
                                    double now) {
   asking_.erase({w.tier, w.zone});
-  if (no_capacity) refused_until_[{w.tier, w.zone}] = now + kRefusedFor;
+  if (no_capacity) {
+    refused_until_[{w.tier, w.zone}] = now + kRefusedFor;
+    grant_[{w.tier, w.zone}] = kGrantLeast;
+  }
   common_.count.refused += w.machines.size() - from;
   common_.stirred = true;
   return {w.machines.begin() + static_cast<long>(from), w.machines.end()};
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -142,6 +142,8 @@
   std::unordered_map<std::string, int> by_name_;
   std::map<std::pair<int, int>, double> refused_until_;  // tier, zone
   std::set<std::pair<int, int>> asking_;                 // tier, zone: a rent is out
+  // Tier, zone: how many may be ordered at a time, where the cloud has refused lately.
+  std::map<std::pair<int, int>, std::size_t> grant_;
   std::map<int, chain::IdleWait> idle_;                  // by tier
   std::map<int, double> last_returned_;                  // by tier: when a returned one went idle
 };
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -48,18 +48,27 @@
 
 void Waiting::listed(Machine& m, const Item& i, bool yes) {
   const Job& j = *i.job;
+  const Need need{j.need.cpus, j.need.gpus, j.need.mem};
   if (yes) {
+    ++needs_[need];
     waiting_[j.team] += j.need;
     all_[i.key()] = m.number;
     ++m.queue.listed[static_cast<std::size_t>(i.band)];
     ++i.job->listed;
   } else {
+    if (auto n = needs_.find(need); --n->second == 0) needs_.erase(n);
     waiting_[j.team] -= j.need;
     all_.erase(i.key());
     --m.queue.listed[static_cast<std::size_t>(i.band)];
     --i.job->listed;
   }
 }
+bool Waiting::any_fits(const Amount& room) const {
+  return std::any_of(needs_.begin(), needs_.end(), [&](const auto& n) {
+    const auto& [cpus, gpus, mem] = n.first;
+    return Amount{cpus, gpus, mem}.fits(room);
+  });
+}
 void Waiting::empty(Machine& m) {
   for (const Item& i : m.queue.items) {
     listed(m, i, false);
@@ -400,12 +409,12 @@
 // Before the machine's own list is through, only more urgent ones do: else room would go to low
 // work here while urgent tasks wait on machines that are full.
 void Waiting::pull(Machine& m, double now) {
-  if (!m.open(now) || !m.rostered) return;
+  if (!m.open(now) || !m.rostered || !any_fits(machines_.room(m))) return;
   std::size_t walks = 0;
   const Job* misfit = nullptr;  // the same job's next task would not fit either
   auto next = all_.begin();
   while (next != all_.end() && walks < kPullsPerReport) {
-    if (machines_.room(m).cpus <= 0) return;
+    if (!any_fits(machines_.room(m))) return;
     auto [key, number] = *next++;
     if (!m.queue.items.empty()) {
       const Key own = m.queue.items.front().key();
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include "fleet/common.h"
@@ -64,6 +65,10 @@
   chain::Rng rng_;
   std::uint64_t next_order_ = 0;
   std::vector<jobs::Amount> waiting_;  // by team
+  // What waits, by what a task needs: a machine whose room none of it fits is not offered around.
+  using Need = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
+  std::map<Need, std::size_t> needs_;
+  bool any_fits(const jobs::Amount& room) const;
   // Every waiting task, the more urgent and then the older first, and the machine it waits on.
   std::map<Key, int> all_;
   std::map<int, chain::Bandit> experience_;  // by tier
