--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -21,6 +21,7 @@
       waiting_(common_, machines_, placements_, seed),
       packing_(common_, machines_, placements_),
       doubts_(common_, machines_),
+      reserve_(common_, machines_),
       last_heard_(now) {}
 
 // ---- jobs
@@ -188,6 +189,7 @@
     if (m->type >= 0) look_at(*m, hear, now);
   }
   for (int n : withdrawn) remove_machine(n, now);
+  reserve_.look(now);
   if (waiting_.quiet()) packing_.look(now);
 }
 
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -14,6 +14,7 @@
 #include "fleet/doubts.h"
 #include "fleet/machines.h"
 #include "fleet/packing.h"
+#include "fleet/reserve.h"
 #include "fleet/placements.h"
 #include "fleet/sheets.h"
 #include "fleet/waiting.h"
@@ -125,6 +126,7 @@
   Waiting waiting_;
   Packing packing_;
   Doubts doubts_;
+  Reserve reserve_;
   std::unordered_map<std::string, int> classes_, images_;  // names to dense indices
   double last_heard_ = 0;
 };
--- a/src/fleet/doubts.cpp
+++ b/src/fleet/doubts.cpp
@@ -7,8 +7,8 @@
 namespace {
 constexpr std::size_t kProbesOut = 24;  // at the same time
 constexpr int kUnanswered = 2;          // probes in a row, before a machine is given up on
-constexpr double kGap = 0.5;            // between two probes of a machine
-constexpr double kQuiet = 4;            // a machine not heard for so long is asked
+constexpr double kGap = 0.2;            // between two probes of a machine
+constexpr double kQuiet = 3;            // a machine not heard for so long is asked
 constexpr double kReached = 4;          // another one of its zone has answered so lately
 constexpr double kShare = 0.15, kLeast = 3;  // of the machines, given up on within a lease
 }  // namespace
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -72,6 +72,9 @@
 Amount Machines::room(const Machine& m) const {
   return m.type < 0 ? Amount{} : common_.catalogue.types[m.type].room - m.placed.used;
 }
+Amount Machines::room(const Machine& m, int band) const {
+  return band < Job::kGuaranteed ? room(m) : room(m) - m.reserved;
+}
 bool Machines::warm(const Machine& m, int image) {
   return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
 }
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -29,6 +29,7 @@
   double avoid_until = 0;
   Queue queue;
   Placed placed;
+  jobs::Amount reserved;    // kept free for urgent work
   std::vector<int> images;  // as cached, the latest used last
 
   std::string name, addr;
@@ -87,6 +88,8 @@
   void erase(int number);
 
   jobs::Amount room(const Machine& m) const;
+  // As a task of this band finds it: what is kept free is for urgent ones.
+  jobs::Amount room(const Machine& m, int band) const;
   static bool warm(const Machine& m, int image);
   bool type_ok(const jobs::Job& j, int type, bool spot) const;
   bool zone_ok(const jobs::Job& j, int zone) const;
--- /dev/null
+++ b/src/fleet/reserve.cpp
@@ -0,0 +1,71 @@
+#include "fleet/reserve.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace shunt::fleet {
+
+using jobs::Amount;
+using jobs::JobPtr;
+
+namespace {
+constexpr double kGap = 1;                // between two looks
+constexpr double kLate = 180;             // urgent jobs that came since are counted
+constexpr double kMost = 0.02;            // of the shard's vcpus are kept free
+constexpr std::int64_t kTasksOnOne = 4;   // that a machine keeps room for
+}  // namespace
+
+JobPtr Reserve::example(double now) const {
+  JobPtr best;
+  auto size = [](const JobPtr& j) { return j->need.cpus * j->spec.tasks; };
+  for (const auto& [id, j] : common_.jobs)
+    if (j->band() < jobs::Job::kGuaranteed && now - j->since < kLate &&
+        (!best || size(j) > size(best)))
+      best = j;
+  return best;
+}
+
+void Reserve::look(double now) {
+  if (now < looked_at_ + kGap) return;
+  looked_at_ = now;
+  const JobPtr like = example(now);
+  std::int64_t all = 0;
+  std::vector<std::vector<Machine*>> by_zone(common_.settings.zones.size());
+  for (const auto& [n, m] : machines_.all()) {
+    m->reserved = {};
+    if (!m->open(now) || !m->rostered || m->type < 0 || m->zone < 0) continue;
+    all += common_.catalogue.types[static_cast<std::size_t>(m->type)].room.cpus;
+    if (like && machines_.type_ok(*like, m->type, m->spot))
+      by_zone[static_cast<std::size_t>(m->zone)].push_back(m.get());
+  }
+  if (!like || like->need.cpus <= 0) return;
+  std::int64_t left = std::min<std::int64_t>(
+      like->need.cpus * like->spec.tasks,
+      static_cast<std::int64_t>(kMost * static_cast<double>(all)));
+  // Where there is room already, and most images are: zone by zone in turn, since jobs are spread.
+  auto kept = [&](const Machine& m) {
+    Amount k;
+    const Amount full = common_.catalogue.types[static_cast<std::size_t>(m.type)].room;
+    for (std::int64_t i = 0; i < kTasksOnOne && (k + k + like->need + like->need).fits(full); ++i)
+      k += like->need;
+    return k;
+  };
+  auto rank = [&](const Machine* m) {
+    return std::tuple(like->need.fits(machines_.room(*m)), m->images.size());
+  };
+  for (auto& z : by_zone)
+    std::stable_sort(z.begin(), z.end(),
+                     [&](const Machine* a, const Machine* b) { return rank(a) > rank(b); });
+  bool more = true;
+  for (std::size_t i = 0; more && left > 0; ++i) {
+    more = false;
+    for (auto& z : by_zone) {
+      if (i >= z.size() || left <= 0) continue;
+      more = true;
+      z[i]->reserved = kept(*z[i]);
+      left -= z[i]->reserved.cpus;
+    }
+  }
+}
+
+}  // namespace shunt::fleet
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -174,7 +174,7 @@
                                          chain::Kinds* seen) const {
   // Accept is split by band (paper 3.1, query scheduling): a task joins the list of its job's band,
   // and only what is ahead of it there counts.
-  const bool has_room = look.job.need.fits(look.full - m.placed.used);
+  const bool has_room = look.job.need.fits(machines_.room(m, look.band));
   if (look.room_only && !has_room) return std::nullopt;
   std::size_t ahead = 0;
   for (int k = 0; k <= look.band; ++k) ahead += m.queue.listed[static_cast<std::size_t>(k)];
@@ -348,7 +348,7 @@
     // Counted again at the last moment, over every recorded placement: the limit is a rule.
     // The list is first come, first served to the letter: small tasks that slipped past a large
     // one would keep it waiting for as long as they keep coming.
-    if (!j.need.fits(machines_.room(m))) break;
+    if (!j.need.fits(machines_.room(m, it.band))) break;
     if (!quota_ok(j, false) || (j.spec.gang && j.in_round.contains(it.task))) {
       ++i;
       continue;
@@ -425,7 +425,7 @@
     auto it = std::find_if(from->queue.items.begin(), from->queue.items.end(),
                            [&](const Item& i) { return i.key() == key; });
     if (it == from->queue.items.end() || it->job.get() == misfit) continue;
-    if (!it->job->need.fits(machines_.room(m)) || !machines_.usable(m, *it->job, now)) {
+    if (!it->job->need.fits(machines_.room(m, key.first)) || !machines_.usable(m, *it->job, now)) {
       misfit = it->job.get();
       continue;
     }
--- a/src/front/committing.cpp
+++ b/src/front/committing.cpp
@@ -15,6 +15,7 @@
 constexpr double kTxnWithin = 5;    // a transaction that could not be sent by then is made anew
 constexpr std::size_t kDirectShare = 4;  // of the sockets, one in so many is for direct orders
 constexpr double kDirectWithin = 2;      // for an answer to a direct order
+constexpr double kProbeWithin = 1;       // for a machine's state
 }  // namespace
 
 // ---- reports
@@ -114,7 +115,7 @@
   if (!desk_ || !parts_.store->fresh(kStartFresh)) return;
   for (const auto& p : desk_->probes(loop_.now()))
     worker(p.machine, p.addr)
-        .request("GET", "/status", "", kDirectWithin,
+        .request("GET", "/status", "", kProbeWithin,
                  reply<net::Result>([this, born = desk_->born(), p](net::Result r) {
                    if (is(born)) desk_->probed(p.machine, r.status == 200, loop_.now());
                  }));
