Final records are read by ranges; copies prove nothing; machines that hear nothing are replaced

A late copy opens no detour (session and sequence), puts off no proof by silence, and brings nothing back into the roster at any node. A machine whose reports show no answer gets nothing new, is asked, and given up on. A node heard by no sibling and without the state service leaves the load balancer. The reserve is kept only where 2% of a shard is a task at least. Tests: services_test.cpp; some still to be mended.

--- a/src/fleet/catalogue.cpp
+++ b/src/fleet/catalogue.cpp
@@ -41,9 +41,7 @@
 }
 double Catalogue::units(int type) const {
   const auto one = static_cast<double>(types.front().room.cpus);
-  return one > 0
-             ? static_cast<double>(types[static_cast<std::size_t>(type)].room.cpus) / one
-             : 1;
+  return one > 0 ? static_cast<double>(types[static_cast<std::size_t>(type)].room.cpus) / one : 1;
 }
 double Catalogue::rate(int tier) const {
   const auto& t = types[tier / 2].spec;
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -10,6 +10,10 @@
 using jobs::JobPtr;
 using wire::RunState;
 
+namespace {
+constexpr double kWorkerWaits = 4;  // for the answer to a report
+}  // namespace
+
 Desk::Desk(const config::Settings& s, const config::Tuning& t, const Catalogue& c, int shard,
            std::uint64_t token, double now, std::uint64_t seed)
     : common_{s, t, c, shard},
@@ -142,14 +146,23 @@
   if (!m) return Heard::unknown;
   if (!Placements::newer(*m, r)) {
     ++common_.count.stale_reports;
-    if (r.session != m->placed.session) return Heard::unknown;
+    // A copy that comes late is answered to nobody: it renews no lease, and must not put off the
+    // proof by silence. What was overtaken on its way is waited for no longer than a worker waits.
+    if (r.session != m->placed.session || now - m->newest_at > kWorkerWaits) return Heard::unknown;
     m->last_answer = now;
     return Heard::older;
   }
   ++common_.count.reports;
   last_heard_ = now;
-  if (machines_.heard(*m, r, r.session != m->placed.session, now)) waiting_.empty(*m);
+  m->newest_at = now;
+  const bool new_session = r.session != m->placed.session;
+  // Answered within a lease, and the lease is over all the same.
+  const bool in_vain =
+      new_session && m->placed.session != 0 && now - m->last_answer < common_.settings.lease_s / 2;
+  m->start_lost = false;
+  if (machines_.heard(*m, r, new_session, now)) waiting_.empty(*m);
   placements_.heard(*m, r, to_direct, now);
+  if (!to_direct) doubts_.note(*m, in_vain || r.token < m->answered_token || m->start_lost, now);
   for (const auto& [j, task] : placements_.take_finished()) waiting_.forget(j, task);
   waiting_.serve(*m, now);
   return Heard::fresh;
@@ -159,6 +172,7 @@
   Machine* m = machines_.find(name);
   if (!m) return {};
   m->last_answer = now;
+  m->answered_token = token();
   return placements_.orders(*m, fresh, now);
 }
 bool Desk::awaits_commit(const std::string& name) {
--- a/src/fleet/doubts.h
+++ b/src/fleet/doubts.h
@@ -20,6 +20,10 @@
   Doubts(Common& common, Machines& machines)
       : common_(common), machines_(machines), reached_(common.settings.zones.size(), -1e9) {}
 
+  // A report, and whether it shows that the answer to an earlier one did not get there. Such a
+  // machine looks alive for ever, while every start on it is lost: nothing new goes there, and it
+  // is asked as a silent one is.
+  void note(Machine& m, bool answer_lost, double now);
   // Each is answered by `answered`.
   std::vector<Probe> probes(double now);
   // True: it has not answered, again, and is to be given up on.
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -118,7 +118,7 @@
 bool Machines::heard(Machine& m, const wire::Report& r, bool new_session, double now) {
   m.addr = r.addr;
   m.last_report = now;
-  m.unanswered = 0;
+  if (m.deaf < kDeaf) m.unanswered = 0;
   if (m.state != Machine::up) {
     m.state = Machine::up;
     m.idle_since = now;
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -40,17 +40,25 @@
   bool lost = false;  // not coming back: its tasks are not waited for
   std::optional<double> notice_s;
   double rented_at = 0, last_report = 0, last_answer = 0, idle_since = 0;
+  double newest_at = -1e9;  // when what was heard last came
   bool was_idle = false;
   std::set<std::string> faulty_for;
   int faults = 0;
-  bool probe_out = false;  // asked whether it lives, since it is silent
-  int unanswered = 0;      // how often in a row it has not answered that
+  // Its reports come, and the answers do not get there: how many in a row show that.
+  int deaf = 0;
+  std::uint64_t answered_token = 0;  // of the latest answer to a report
+  bool start_lost = false;           // the latest report does not show a start sent in an answer
+  bool probe_out = false;            // asked whether it lives, since it is silent
+  int unanswered = 0;                // how often in a row it has not answered that
   double probe_after = 0, alive_at = 0;  // when it answered it last
   int tier() const { return 2 * type + (spot ? 1 : 0); }
   // Something may be placed here, as far as the machine itself goes.
   bool open(double now) const { return state == up && !leaving && !draining && avoid_until <= now; }
 };
 
+// So many reports in a row that show no answer: it is asked whether it hears anything at all.
+inline constexpr int kDeaf = 2;
+
 struct RentWish {
   int tier = 0, zone = 0;
   std::vector<int> machines;  // ordered machines, by number
@@ -147,8 +155,8 @@
   std::set<std::pair<int, int>> asking_;                 // tier, zone: a rent is out
   // Tier, zone: how many may be ordered at a time, where the cloud has refused lately.
   std::map<std::pair<int, int>, std::size_t> grant_;
-  std::map<int, chain::IdleWait> idle_;                  // by tier
-  std::map<int, double> last_returned_;                  // by tier: when a returned one went idle
+  std::map<int, chain::IdleWait> idle_;  // by tier
+  std::map<int, double> last_returned_;  // by tier: when a returned one went idle
 };
 
 // What a task takes of a machine of this size, the greater share of the two.
--- a/src/fleet/placements.cpp
+++ b/src/fleet/placements.cpp
@@ -270,6 +270,7 @@
         erase[i] = true;
       } else if (!p.direct) {
         p.sent = false;  // the answer did not get there: sent once more, same attempt
+        m.start_lost = true;
       }
     } else if (p.inherited && (under_us || p.released)) {
       release(m, p, now, true);
--- a/src/fleet/reserve.cpp
+++ b/src/fleet/reserve.cpp
@@ -9,10 +9,10 @@
 using jobs::JobPtr;
 
 namespace {
-constexpr double kGap = 1;                // between two looks
-constexpr double kLate = 180;             // urgent jobs that came since are counted
-constexpr double kMost = 0.02;            // of the shard's vcpus are kept free
-constexpr std::int64_t kTasksOnOne = 4;   // that a machine keeps room for
+constexpr double kGap = 1;               // between two looks
+constexpr double kLate = 180;            // urgent jobs that came since are counted
+constexpr double kMost = 0.02;           // of the shard's vcpus are kept free
+constexpr std::int64_t kTasksOnOne = 4;  // that a machine keeps room for
 }  // namespace
 
 JobPtr Reserve::example(double now) const {
@@ -39,15 +39,17 @@
       by_zone[static_cast<std::size_t>(m->zone)].push_back(m.get());
   }
   if (!like || like->need.cpus <= 0) return;
-  std::int64_t left = std::min<std::int64_t>(
-      like->need.cpus * like->spec.tasks,
-      static_cast<std::int64_t>(kMost * static_cast<double>(all)));
+  std::int64_t left =
+      std::min<std::int64_t>(like->need.cpus * like->spec.tasks,
+                             static_cast<std::int64_t>(kMost * static_cast<double>(all)));
   // Where there is room already, and most images are: zone by zone in turn, since jobs are spread.
   auto kept = [&](const Machine& m) {
     Amount k;
     const Amount full = common_.catalogue.types[static_cast<std::size_t>(m.type)].room;
-    for (std::int64_t i = 0; i < kTasksOnOne && (k + k + like->need + like->need).fits(full); ++i)
+    for (std::int64_t i = 0; i < kTasksOnOne && k.cpus + like->need.cpus <= left; ++i) {
+      if (!(k + k + like->need + like->need).fits(full)) break;  // half a machine at the most
       k += like->need;
+    }
     return k;
   };
   auto rank = [&](const Machine* m) {
@@ -57,10 +59,10 @@
     std::stable_sort(z.begin(), z.end(),
                      [&](const Machine* a, const Machine* b) { return rank(a) > rank(b); });
   bool more = true;
-  for (std::size_t i = 0; more && left > 0; ++i) {
+  for (std::size_t i = 0; more && left >= like->need.cpus; ++i) {
     more = false;
     for (auto& z : by_zone) {
-      if (i >= z.size() || left <= 0) continue;
+      if (i >= z.size() || left < like->need.cpus) continue;
       more = true;
       z[i]->reserved = kept(*z[i]);
       left -= z[i]->reserved.cpus;
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -32,7 +32,8 @@
   const std::uint64_t n = next_order_++;
   if (!ranked(band)) return n;
   constexpr double kOrigin = 1e6;  // earlier than any start, before this process as well
-  const auto ms = static_cast<std::uint64_t>((std::max(j.latest_start(), -kOrigin) + kOrigin) * 1e3);
+  const auto ms =
+      static_cast<std::uint64_t>((std::max(j.latest_start(), -kOrigin) + kOrigin) * 1e3);
   return ms << 24 | (n & 0xffffff);
 }
 
--- a/src/front/cloud.cpp
+++ b/src/front/cloud.cpp
@@ -10,12 +10,20 @@
 constexpr double kListGap = 6;        // between two reads of the machine list, at least
 constexpr double kListShare = 0.2;    // of this node's cloud calls that go into the list
 constexpr double kUnknownFor = 20;    // a listed machine without a record is adopted after this
-constexpr double kRemovedKept = 120;  // late reports of deleted machines are refused this long
+constexpr double kRemovedKept = 600;  // late reports of deleted machines are refused this long
 constexpr std::size_t kDeleteMost = 100;
 }  // namespace
 
 Cloud::Cloud(actor::Loop& loop, Parts& parts)
-    : Actor(loop), parts_(parts), client_(loop, parts.settings) {}
+    : Actor(loop), parts_(parts), client_(loop, parts.settings) {
+  // Whoever deleted it, what has left the roster is gone: a late copy of its last reports must not
+  // bring it back.
+  parts_.store->listen(reply<Changes>([this](Changes changes) {
+    for (const auto& c : *changes)
+      if (c.kind == state::Change::machine_gone && !parts_.store->world().machine(c.name))
+        removed_[c.name] = loop_.now();
+  }));
+}
 
 const std::string* Cloud::address(const std::string& machine) const {
   auto a = seen_.find(machine);
--- a/src/front/outcomes.cpp
+++ b/src/front/outcomes.cpp
@@ -1,5 +1,7 @@
 #include "front/outcomes.h"
 
+#include <spdlog/spdlog.h>
+
 #include "front/levels.h"
 #include "front/membership.h"
 #include "front/runner.h"
@@ -7,12 +9,11 @@
 namespace shunt::front {
 namespace {
 constexpr std::size_t kFinalsKept = 4000;
-constexpr std::size_t kReadsOut = 6;     // final records that are read ahead at the same time
-constexpr std::size_t kReadsAsked = 64;  // for one answer
-constexpr double kReadGap = 0.2;         // after a read that failed
-constexpr double kOwnersTime = 2;        // before others move what the owner should have
-constexpr double kMoveGap = 0.3;         // after a move that failed
-constexpr double kTurn = 0.04;           // what changes make possible is gathered so long
+constexpr std::size_t kReadsOut = 6;  // final records that are read ahead at the same time
+constexpr double kReadGap = 0.2;      // after a read that failed
+constexpr double kOwnersTime = 2;     // before others move what the owner should have
+constexpr double kMoveGap = 0.3;      // after a move that failed
+constexpr double kTurn = 0.04;        // what changes make possible is gathered so long
 }  // namespace
 
 Outcomes::Outcomes(actor::Loop& loop, Parts& parts)
@@ -57,28 +58,58 @@
   post([this, id = std::move(id), then = std::move(then)] { read(id, then); });
 }
 void Outcomes::read(const std::string& id, std::function<void(Look)> then) {
-  if (finals_.contains(id)) return then(Look::found);
-  parts_.state.get("/kv/" + state::final_key(id), state::Urgency::user,
-                   reply<net::Result>([this, id, then = std::move(then)](net::Result r) {
-                     if (r.status == 404) return then(Look::none);
-                     try {
-                       if (r.status != 200) throw wire::Malformed("no answer");
-                       remember(id, wire::decode_final_record(*wire::decode_key(r.body).value));
-                     } catch (const wire::Malformed&) {
-                       return then(Look::not_read);
-                     }
-                     then(Look::found);
-                   }));
+  if (finals_.contains(id)) return then(Look::yes);
+  if (!reads_.want(id, then)) return then(Look::unread);
+  ask();
+}
+void Outcomes::ask() {
+  while (auto next = reads_.next()) {
+    const std::string key = state::final_key(next->id);
+    parts_.state.get(
+        next->range ? wire::keys_path(state::kFinals, jobs::FinalReads::before(key)) : "/kv/" + key,
+        state::Urgency::user, reply<net::Result>([this, ask = *next](net::Result r) {
+          answered(ask, r);
+          this->ask();
+        }));
+  }
+}
+void Outcomes::answered(const jobs::FinalReads::Ask& ask, const net::Result& r) {
+  std::vector<std::string> found;
+  bool more = false;
+  try {
+    if (!ask.range && r.status == 404) return reads_.answered(ask, found, more);
+    if (r.status != 200) throw wire::Malformed("no answer");
+    if (ask.range) {
+      wire::KeyPage p = wire::decode_keys(r.body);
+      more = p.more;
+      for (const auto& e : p.items) {
+        found.push_back(e.key.substr(std::string(state::kFinals).size()));
+        // Only what is waited for is kept: the rest would push it out. One that cannot be read is
+        // there all the same, and keeps no other from its answer.
+        if (!e.value || !reads_.waits(found.back())) continue;
+        try {
+          remember(found.back(), wire::decode_final_record(*e.value));
+        } catch (const wire::Malformed& bad) {
+          spdlog::error("{}: {}", e.key, bad.what());
+        }
+      }
+    } else {
+      remember(ask.id, wire::decode_final_record(*wire::decode_key(r.body).value));
+      found.push_back(ask.id);
+    }
+  } catch (const wire::Malformed&) {
+    return reads_.failed(ask);
+  }
+  reads_.answered(ask, found, more);
 }
 void Outcomes::look_all(std::vector<std::string> ids, std::function<void(bool)> then) {
-  if (ids.size() > kReadsAsked * 2) return then(false);
   if (ids.empty()) return then(true);
   post([this, ids = std::move(ids), then = std::move(then)] {
     auto left = std::make_shared<std::size_t>(ids.size());
     auto ok = std::make_shared<bool>(true);
     for (const auto& id : ids)
       read(id, [left, ok, then](Look f) {
-        *ok &= f != Look::not_read;
+        *ok &= f != Look::unread;
         if (--*left == 0) then(*ok);
       });
   });
@@ -146,7 +177,7 @@
       if (finals_.contains(id) || !reading_.insert(id).second) continue;
       read(id, [this, id](Look f) {
         reading_.erase(id);
-        if (f != Look::found) read_after_ = loop_.now() + kReadGap;
+        if (f != Look::yes) read_after_ = loop_.now() + kReadGap;
         stir();
       });
     }
--- a/src/front/outcomes.h
+++ b/src/front/outcomes.h
@@ -11,6 +11,7 @@
 
 #include "front/parts.h"
 #include "front/store.h"
+#include "jobs/final_reads.h"
 #include "jobs/pipelines.h"
 
 namespace shunt::front {
@@ -36,7 +37,7 @@
   // A final record that this node has written.
   void ended(std::string id, wire::FinalRecord f);
   // Whatever is found is known before `then` is told.
-  enum class Look { found, none, not_read };
+  using Look = jobs::Found;
   void look(std::string id, std::function<void(Look)> then);
   // All of them at the same time; `then` learns whether all were answered, found or not.
   void look_all(std::vector<std::string> ids, std::function<void(bool)> then);
@@ -50,6 +51,8 @@
   void changed(const std::vector<state::Change>& changes);
   void remember(const std::string& id, const wire::FinalRecord& f);
   void read(const std::string& id, std::function<void(Look)> then);
+  void ask();
+  void answered(const jobs::FinalReads::Ask& ask, const net::Result& r);
   void note_urgencies();
   void stir();
   void advance();
@@ -60,6 +63,7 @@
   jobs::Pipelines pipelines_;
   std::unordered_map<std::string, wire::FinalRecord> finals_;
   std::deque<std::string> finals_order_;
+  jobs::FinalReads reads_;
   std::set<std::string> reading_;                       // final records on their way
   std::unordered_map<std::string, double> move_since_;  // waiting jobs to be moved, since when
   Mover readier_, ender_;
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -42,6 +42,11 @@
 bool Peers::another_serves() const {
   const double now = loop_.now();
   if (now - started_at_ < kPeersUnknown) return true;
+  // Heard by none: cut off from them as well, or they have all just ended. In an outage they are
+  // heard, and none serves.
+  if (std::none_of(news_.begin(), news_.end(),
+                   [&](const News& n) { return now - n.at < kServesFor; }))
+    return news_.size() > 1;
   return std::any_of(news_.begin(), news_.end(),
                      [&](const News& n) { return n.serving && now - n.at < kServesFor; });
 }
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -19,7 +19,7 @@
   void heard(net::ExchangePtr ex);
 
   // Some other node has said lately that it can serve, or may be able to: just started, this one
-  // has not heard of the others yet.
+  // has not heard of the others yet, or hears none of them any more.
   bool another_serves() const;
   std::uint64_t garbage() const { return garbage_; }
 
--- a/src/front/relay.cpp
+++ b/src/front/relay.cpp
@@ -22,15 +22,19 @@
   }
 }
 
-void Relay::report(net::ExchangePtr ex, std::string machine, int zone, int owner) {
-  post([this, ex, machine = std::move(machine), zone, owner] { decide(ex, machine, zone, owner); });
+void Relay::report(net::ExchangePtr ex, std::string machine, links::Detours::Order order, int zone,
+                   int owner) {
+  post([this, ex, machine = std::move(machine), order, zone, owner] {
+    decide(ex, machine, order, zone, owner);
+  });
 }
 
-void Relay::decide(const net::ExchangePtr& ex, const std::string& machine, int zone, int owner) {
+void Relay::decide(const net::ExchangePtr& ex, const std::string& machine,
+                   links::Detours::Order order, int zone, int owner) {
   const bool other = owner >= 0 && owner != parts_.settings.self;
   const std::string to = other ? parts_.settings.nodes[static_cast<std::size_t>(owner)] : "";
   auto way = links::Way::redirect;
-  if (other && parts_.tuning.relay) way = detours_.way(machine, zone, owner, loop_.now());
+  if (other && parts_.tuning.relay) way = detours_.way(machine, order, zone, owner, loop_.now());
   switch (way) {
     case links::Way::redirect:
       return ex->send({421, wire::encode_redirect(to), 0});
--- a/src/front/relay.h
+++ b/src/front/relay.h
@@ -20,7 +20,8 @@
 
   // A report of a machine in this zone, whose shard node `owner` (-1: nobody) owns. Redirected,
   // passed on, or refused.
-  void report(net::ExchangePtr ex, std::string machine, int zone, int owner);
+  void report(net::ExchangePtr ex, std::string machine, links::Detours::Order order, int zone,
+              int owner);
   // From a sibling: `then` is handed the report, in an exchange that answers the sibling.
   void heard(const net::ExchangePtr& ex, const std::function<void(net::ExchangePtr)>& then);
 
@@ -31,7 +32,8 @@
   std::uint64_t garbage() const { return garbage_; }
 
  private:
-  void decide(const net::ExchangePtr& ex, const std::string& machine, int zone, int owner);
+  void decide(const net::ExchangePtr& ex, const std::string& machine, links::Detours::Order order,
+              int zone, int owner);
   void pass(const net::ExchangePtr& ex, int owner);
 
   Parts& parts_;
--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -92,9 +92,9 @@
     // Not live at the barrier: it is over already, or nobody knows it.
     parts_.outcomes->look(
         id, reply<Outcomes::Look>([this, ex, id, counts, unknown](Outcomes::Look found) {
-          if (found == Outcomes::Look::none) return unknown();
+          if (found == Outcomes::Look::no) return unknown();
           const auto* f = parts_.outcomes->final(id);
-          if (found == Outcomes::Look::not_read || !f) return ex->send(later());
+          if (found == Outcomes::Look::unread || !f) return ex->send(later());
           answer_final(ex, id, *f, counts);
         }));
   }));
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -63,7 +63,8 @@
   }
   if (shard >= parts_.settings.shards()) return ex->send({503, "{}", 0});
   if (!passed_on && !parts_.runner(shard).desk())
-    return parts_.relay->report(ex, r.machine, parts_.settings.zone_index(r.zone),
+    return parts_.relay->report(ex, r.machine, {r.session, r.seq},
+                                parts_.settings.zone_index(r.zone),
                                 parts_.store->world().owner(shard).node);
   parts_.runner(shard).report(ex, std::move(r), passed_on);
 }
--- /dev/null
+++ b/src/jobs/final_reads.cpp
@@ -0,0 +1,98 @@
+#include "jobs/final_reads.h"
+
+#include <algorithm>
+
+namespace shunt::jobs {
+namespace {
+constexpr std::size_t kMost = 8192;    // jobs that wait
+constexpr std::size_t kSingles = 6;    // reads of single records at the same time
+constexpr std::size_t kRangeFrom = 8;  // jobs that wait, from which on a range is read
+}  // namespace
+
+bool FinalReads::want(const std::string& id, Then then) {
+  auto at = waiting_.find(id);
+  if (at == waiting_.end()) {
+    if (waiting_.size() >= kMost) return false;
+    at = waiting_.emplace(id, std::vector<Asker>{}).first;
+    order_.push_back(id);
+  }
+  at->second.push_back({++ticket_, std::move(then)});
+  return true;
+}
+
+std::optional<FinalReads::Ask> FinalReads::next() {
+  const bool many = waiting_.size() >= kRangeFrom;
+  if (many ? range_out_ : single_.size() >= kSingles) return std::nullopt;
+  while (!order_.empty() && !waiting_.contains(order_.front())) order_.pop_front();
+  for (const auto& id : order_) {
+    if (!waiting_.contains(id) || single_.contains(id)) continue;
+    if (many)
+      range_out_ = true;
+    else
+      single_.insert(id);
+    return Ask{id, many, ++ticket_};
+  }
+  return std::nullopt;
+}
+
+void FinalReads::over(const Ask& ask) {
+  if (ask.range)
+    range_out_ = false;
+  else
+    single_.erase(ask.id);
+}
+
+// What is there is final, whenever it was read; that it is not there is known only to reads that
+// began after the question.
+void FinalReads::settle(const std::string& id, bool found, std::uint64_t ticket, Calls& out) {
+  auto at = waiting_.find(id);
+  if (at == waiting_.end()) return;
+  std::erase_if(at->second, [&](Asker& a) {
+    if (!found && a.ticket > ticket) return false;
+    out.emplace_back(std::move(a.then), found ? Found::yes : Found::no);
+    return true;
+  });
+  if (at->second.empty()) waiting_.erase(at);
+}
+
+void FinalReads::answered(const Ask& ask, const std::vector<std::string>& found, bool more) {
+  over(ask);
+  Calls calls;
+  if (!ask.range) {
+    settle(ask.id, !found.empty(), ask.ticket, calls);
+  } else {
+    std::vector<std::string> ids;
+    for (auto at = waiting_.lower_bound(ask.id);
+         at != waiting_.end() && (!more || (!found.empty() && at->first <= found.back())); ++at)
+      ids.push_back(at->first);
+    for (const auto& id : ids)
+      settle(id, std::binary_search(found.begin(), found.end(), id), ask.ticket, calls);
+  }
+  for (auto& [then, f] : calls) then(f);
+}
+
+// Whoever asked before hears at once that nothing is known, and asks again.
+void FinalReads::failed(const Ask& ask) {
+  over(ask);
+  Calls calls;
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    if (ask.range || at->first == ask.id)
+      std::erase_if(at->second, [&](Asker& a) {
+        if (a.ticket > ask.ticket) return false;
+        calls.emplace_back(std::move(a.then), Found::unread);
+        return true;
+      });
+    at = at->second.empty() ? waiting_.erase(at) : std::next(at);
+  }
+  for (auto& [then, f] : calls) then(f);
+}
+
+std::string FinalReads::before(std::string key) {
+  if (!key.empty()) {
+    --key.back();
+    key += '~';
+  }
+  return key;
+}
+
+}  // namespace shunt::jobs
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -6,7 +6,8 @@
 namespace shunt::jobs {
 
 Amount Amount::of(double cpus, double gpus, double mem_gb) {
-  static constexpr double kMost = 1e18;  // what is not limited; sums of it and real amounts still fit
+  static constexpr double kMost =
+      1e18;  // what is not limited; sums of it and real amounts still fit
   auto whole = [](double d) {
     return static_cast<std::int64_t>(std::llround(std::min(d * 1e6, kMost)));
   };
--- a/src/links/detours.cpp
+++ b/src/links/detours.cpp
@@ -20,7 +20,7 @@
   std::erase_if(open_, [&](const auto& d) { return now - d.second.used_at > kUnused; });
 }
 
-Way Detours::way(const std::string& machine, int zone, int owner, double now) {
+Way Detours::way(const std::string& machine, Order order, int zone, int owner, double now) {
   forget(now);
   if (auto c = cannot_until_.find(owner); c != cannot_until_.end() && now < c->second)
     return Way::redirect;
@@ -30,16 +30,18 @@
   if (at == open_.end()) {
     auto was = sent_.find(machine);
     if (was == sent_.end() || was->second.owner != owner || now - was->second.at > kBack) {
-      sent_[machine] = {owner, now};
+      sent_[machine] = {owner, now, order};
       return Way::redirect;
     }
+    if (order <= was->second.order) return Way::redirect;  // a copy
     sent_.erase(was);
-    open_[{owner, zone}] = {now, now + kFirstTrial, kFirstTrial, {}, 0, now};
+    open_[{owner, zone}] = {now, now + kFirstTrial, kFirstTrial, {}, {}, 0, now};
     return pass;
   }
   Detour& d = at->second;
   d.used_at = now;
   if (!d.on_trial.empty()) {
+    if (machine == d.on_trial && order <= d.trial_order) return pass;  // a copy
     if (machine == d.on_trial) {
       // Back again: still cut.
       d.on_trial.clear();
@@ -53,6 +55,7 @@
   }
   if (now < d.trial_at || pass == Way::refuse) return pass;
   d.on_trial = machine;
+  d.trial_order = order;
   d.sent_at = now;
   return Way::redirect;
 }
--- a/src/links/detours.h
+++ b/src/links/detours.h
@@ -21,7 +21,10 @@
  public:
   // A report of a machine in this zone has come here, whose shard node `owner` owns. Times in
   // seconds.
-  Way way(const std::string& machine, int zone, int owner, double now);
+  // `order`: the report's session and sequence. A copy that comes late shows nothing: only a report
+  // that is newer than the one that was sent away tells that its worker has come back.
+  using Order = std::pair<std::uint64_t, std::uint64_t>;
+  Way way(const std::string& machine, Order order, int zone, int owner, double now);
   // Whether the owner answered what was passed on.
   void passed(int owner, bool answered, double now);
   // It speaks no version of the relay that this node knows.
@@ -31,6 +34,7 @@
     double trial_at = 0;  // when the next worker is sent to the owner on trial
     double gap = 0;       // between two trials that fail
     std::string on_trial;
+    Order trial_order{};  // the report that was sent there
     double sent_at = 0;
     double used_at = 0;
   };
@@ -42,6 +46,7 @@
   struct Sent {
     int owner = -1;
     double at = 0;
+    Order order{};
   };
   void forget(double now);
 
--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -26,7 +26,7 @@
 std::string sheet_key(int shard, int sheet) {
   return "st/a/" + std::to_string(shard) + "/" + std::to_string(sheet);
 }
-std::string final_key(const std::string& id) { return "fin/" + id; }
+std::string final_key(const std::string& id) { return kFinals + id; }
 
 World::World(const config::Settings& s) : settings_(s), sheets_(s.shards()), owners_(s.shards()) {
   levels_.members.resize(static_cast<std::size_t>(s.shards()));
--- a/src/state/world.h
+++ b/src/state/world.h
@@ -17,6 +17,7 @@
 namespace shunt::state {
 
 inline constexpr const char* kRoot = "st/";
+inline constexpr const char* kFinals = "fin/";  // outside the root: not kept in memory
 std::string node_key(const std::string& node);
 std::string owner_key(int shard);
 std::string job_key(const std::string& id);
@@ -30,7 +31,7 @@
 int roster_part(int page, int part);  // part 0: the page itself
 int roster_base(int part);            // the page that it is a part of
 std::string sheet_key(int shard, int sheet);
-std::string final_key(const std::string& id);  // outside the root: not kept in memory
+std::string final_key(const std::string& id);
 
 struct JobEntry {
   wire::JobRecord record;
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -19,53 +19,75 @@
 using links::Detours;
 using links::Way;
 
+// Every report that is really sent is newer than the one before.
+Detours::Order order() {
+  static std::uint64_t seq = 0;
+  return {1, ++seq};
+}
+
 TEST(Detours, AWorkerThatComesBackOpensOneForItsZoneAlone) {
   Detours d;
-  EXPECT_EQ(d.way("m-1", 0, 2, 10), Way::redirect);
-  EXPECT_EQ(d.way("m-2", 0, 2, 11), Way::redirect);
-  EXPECT_EQ(d.way("m-1", 0, 2, 15), Way::relay);
-  EXPECT_EQ(d.way("m-3", 0, 2, 16), Way::relay);
-  EXPECT_EQ(d.way("m-4", 1, 2, 16), Way::redirect);
-  EXPECT_EQ(d.way("m-5", 0, 1, 16), Way::redirect);
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 10), Way::redirect);
+  EXPECT_EQ(d.way("m-2", order(), 0, 2, 11), Way::redirect);
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 15), Way::relay);
+  EXPECT_EQ(d.way("m-3", order(), 0, 2, 16), Way::relay);
+  EXPECT_EQ(d.way("m-4", order(), 1, 2, 16), Way::redirect);
+  EXPECT_EQ(d.way("m-5", order(), 0, 1, 16), Way::redirect);
   // Back after long: it has been there in between.
-  EXPECT_EQ(d.way("m-4", 1, 2, 40), Way::redirect);
+  EXPECT_EQ(d.way("m-4", order(), 1, 2, 40), Way::redirect);
 }
 
 TEST(Detours, TrialsEndItOnceAWorkerStaysAway) {
   Detours d;
-  d.way("m-1", 0, 2, 10);
-  d.way("m-1", 0, 2, 15);
-  EXPECT_EQ(d.way("m-2", 0, 2, 18.5), Way::redirect);  // on trial
-  EXPECT_EQ(d.way("m-3", 0, 2, 19), Way::relay);
-  EXPECT_EQ(d.way("m-2", 0, 2, 23), Way::relay);  // back: still cut
-  EXPECT_EQ(d.way("m-3", 0, 2, 24), Way::relay);
-  EXPECT_EQ(d.way("m-3", 0, 2, 30), Way::redirect);  // on trial
-  EXPECT_EQ(d.way("m-1", 0, 2, 36), Way::relay);
-  EXPECT_EQ(d.way("m-1", 0, 2, 38), Way::redirect);  // m-3 stayed there
+  d.way("m-1", order(), 0, 2, 10);
+  d.way("m-1", order(), 0, 2, 15);
+  EXPECT_EQ(d.way("m-2", order(), 0, 2, 18.5), Way::redirect);  // on trial
+  EXPECT_EQ(d.way("m-3", order(), 0, 2, 19), Way::relay);
+  EXPECT_EQ(d.way("m-2", order(), 0, 2, 23), Way::relay);  // back: still cut
+  EXPECT_EQ(d.way("m-3", order(), 0, 2, 24), Way::relay);
+  EXPECT_EQ(d.way("m-3", order(), 0, 2, 30), Way::redirect);  // on trial
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 36), Way::relay);
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 38), Way::redirect);  // m-3 stayed there
   EXPECT_TRUE(d.open().empty());
 }
 
 TEST(Detours, AnOwnerThatDoesNotAnswerIsNotAskedAtOnceAgain) {
   Detours d;
-  d.way("m-1", 0, 2, 10);
-  EXPECT_EQ(d.way("m-1", 0, 2, 15), Way::relay);
+  d.way("m-1", order(), 0, 2, 10);
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 15), Way::relay);
   d.passed(2, false, 17.5);
-  EXPECT_EQ(d.way("m-2", 0, 2, 18), Way::refuse);
-  EXPECT_EQ(d.way("m-2", 0, 2, 19.6), Way::redirect);  // a trial is due
-  EXPECT_EQ(d.way("m-1", 0, 2, 19.7), Way::relay);
+  EXPECT_EQ(d.way("m-2", order(), 0, 2, 18), Way::refuse);
+  EXPECT_EQ(d.way("m-2", order(), 0, 2, 19.6), Way::redirect);  // a trial is due
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 19.7), Way::relay);
   d.passed(2, true, 19.8);
-  EXPECT_EQ(d.way("m-1", 0, 2, 19.9), Way::relay);
+  EXPECT_EQ(d.way("m-1", order(), 0, 2, 19.9), Way::relay);
   d.cannot(2, 20);
   EXPECT_TRUE(d.open().empty());
-  for (double at : {20.5, 24.0, 28.0}) EXPECT_EQ(d.way("m-1", 0, 2, at), Way::redirect);
+  for (double at : {20.5, 24.0, 28.0}) EXPECT_EQ(d.way("m-1", order(), 0, 2, at), Way::redirect);
+}
+
+// Copies of reports come late: one that had been sent away before looked like a worker that had
+// come back, and every report of its zone took a hop.
+TEST(Detours, ACopyOpensNothingAndEndsNoTrial) {
+  Detours d;
+  EXPECT_EQ(d.way("m-1", {1, 7}, 0, 2, 10), Way::redirect);
+  EXPECT_EQ(d.way("m-1", {1, 7}, 0, 2, 12), Way::redirect);
+  EXPECT_EQ(d.way("m-1", {1, 5}, 0, 2, 13), Way::redirect);
+  EXPECT_TRUE(d.open().empty());
+  EXPECT_EQ(d.way("m-1", {1, 8}, 0, 2, 14), Way::relay);
+  EXPECT_EQ(d.way("m-2", {4, 1}, 0, 2, 18.5), Way::redirect);  // on trial
+  EXPECT_EQ(d.way("m-2", {3, 9}, 0, 2, 19), Way::relay);       // a copy of an earlier session
+  EXPECT_EQ(d.open().begin()->second.on_trial, "m-2");
+  EXPECT_EQ(d.way("m-2", {5, 1}, 0, 2, 20), Way::relay);  // itself, in a new session
+  EXPECT_EQ(d.open().begin()->second.on_trial, "");
 }
 
 TEST(Detours, WhatNobodyComesByIsForgotten) {
   Detours d;
-  for (int i = 0; i < 500; ++i) d.way("m-" + std::to_string(i), 0, 2, 10);
-  d.way("m-1", 0, 2, 12);
+  for (int i = 0; i < 500; ++i) d.way("m-" + std::to_string(i), order(), 0, 2, 10);
+  d.way("m-1", order(), 0, 2, 12);
   EXPECT_EQ(d.open().size(), 1u);
-  d.way("m-x", 1, 0, 100);
+  d.way("m-x", order(), 1, 0, 100);
   EXPECT_TRUE(d.open().empty());
   EXPECT_EQ(d.remembered(), 1u);
 }
@@ -118,7 +140,8 @@
         continue;
       }
       auto way = Way::redirect;
-      if (w.at != 0 && relays_) way = nodes_[w.at].way("m-" + std::to_string(i), w.zone, 0, now_);
+      if (w.at != 0 && relays_)
+        way = nodes_[w.at].way("m-" + std::to_string(i), order(), w.zone, 0, now_);
       if (w.at == 0 || way == Way::relay) {
         w.answered = now_;
         w.next = now_ + 4 + draw(2);
@@ -165,7 +188,7 @@
   for (auto [machine, zone, owner, past] : steps) {
     now += past / 10.0;
     const bool was = d.open().contains({owner, zone});
-    Way w = d.way("m-" + std::to_string(machine), zone, owner, now);
+    Way w = d.way("m-" + std::to_string(machine), order(), zone, owner, now);
     if (w != Way::redirect && !was) {
       auto at = redirected.find({machine, owner});
       const bool came_back = at != redirected.end() && now - at->second <= 13;
@@ -224,9 +247,10 @@
     client = std::make_unique<state::Client>(loop, s);
     parts.reset(new front::Parts{s, t, *client});
     relay = std::make_unique<front::Relay>(loop, *parts);
-    front = std::make_unique<net::Server>(
-        loop, config::Endpoint{"127.0.0.1", front_port}, 64 * 1024,
-        [this](net::ExchangePtr ex) { relay->report(ex, "m-1", 0, 2); });
+    front = std::make_unique<net::Server>(loop, config::Endpoint{"127.0.0.1", front_port},
+                                          64 * 1024, [this](net::ExchangePtr ex) {
+                                            relay->report(ex, "m-1", {1, 1}, 0, 2);
+                                          });
     owner = std::make_unique<net::Server>(loop, config::Endpoint{"127.0.0.1", owner_port},
                                           65 * 1024, [this](net::ExchangePtr ex) {
                                             EXPECT_EQ(ex->path, "/peer/report");
--- /dev/null
+++ b/tests/services_test.cpp
@@ -0,0 +1,427 @@
+// Services beside arrays on one desk: what a deployment with both showed. Each guards against a
+// failure that was seen there (docs/incidents/guimaraes-montagem-1.md).
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "jobs/final_reads.h"
+#include "standins.h"
+
+namespace shunt::test {
+namespace {
+
+using wire::Command;
+using wire::RunState;
+
+class Site {
+ public:
+  config::Settings s = make_settings(1);
+  config::Tuning t;
+  fleet::Catalogue c = make_catalogue(s);
+  Store store;
+  state::World w{s};
+  std::unique_ptr<fleet::Desk> desk;
+  std::map<std::string, Worker> workers;
+  std::mt19937 rng{5};
+
+  Site() {
+    s.teams[0].cpus_max = config::team_limit(0);
+    take(0);
+  }
+  void take(double now) {
+    store.commit(
+        {{}, {{state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", "x"}), 0}}});
+    read();
+    desk = std::make_unique<fleet::Desk>(s, t, c, 0, w.owner(0).stamp, now, 7);
+    for (const auto& [id, j] : w.jobs()) desk->job_added(j.record, 0, w.done(id), now, now);
+    for (const auto& [name, m] : w.machines()) desk->machine_known(m, now);
+    for (const auto& [k, sheet] : w.sheets(0)) desk->inherit(k, sheet, now);
+  }
+  void read() {
+    std::vector<state::Change> ch;
+    store.read(w, ch);
+  }
+  void machine(const std::string& name, double now, const std::string& zone = "a") {
+    wire::MachineRecord r{name, "t4", zone, false, 0, 0};
+    store.commit(roster_txn(w, {r}));
+    read();
+    desk->machine_known(r, now);
+    desk->machine_addr(name, "10.0.0.1:1");
+    Worker k;
+    k.name = name;
+    k.zone = zone;
+    k.last_ok = now;
+    workers[name] = k;
+    report(name, now);
+  }
+  wire::JobRecord job(int n, std::uint32_t tasks, double cpus, bool service, double now,
+                      std::optional<double> deadline_s = std::nullopt) {
+    auto r = make_job(n, tasks, cpus);
+    r.spec.service = service;
+    r.spec.spot = !service;
+    if (service) r.spec.priority = wire::Priority::critical;
+    r.spec.deadline_s = deadline_s;
+    r.spec.estimate_s = service ? 0 : 10;
+    r.submitted_at = now;
+    store.commit({{}, {{state::job_key(r.spec.id), wire::encode_record(r), 0}}});
+    read();
+    desk->job_added(r, 0, {}, now, now);
+    return r;
+  }
+  void commit(double now) {
+    desk->turn(now);
+    while (auto txn = desk->next_txn(w, state::Room{}, "t", now)) {
+      if (!store.commit(*txn)) return desk->txn_failed(now);
+      read();
+      desk->txn_applied(now);
+    }
+  }
+  // `deaf`: the answer does not get there.
+  fleet::Desk::Heard report(const std::string& name, double now, bool deaf = false) {
+    Worker& k = workers.at(name);
+    k.lease(now, s.lease_s);
+    auto r = k.report();
+    r.spot = false;
+    auto heard = desk->report(r, now);
+    if (heard != fleet::Desk::Heard::fresh) return heard;
+    commit(now);
+    auto commands = desk->orders(name, true, now);
+    if (!deaf) k.obey(desk->token(), commands, r.session, now, now, rng);
+    return heard;
+  }
+  void all_report(double now, const std::set<std::string>& but = {}) {
+    for (auto& [name, k] : workers)
+      if (!but.contains(name)) {
+        report(name, now);
+        report(name, now + 0.01);
+      }
+  }
+  // Of live tasks.
+  std::size_t on(const std::string& name) {
+    auto& tasks = workers.at(name).tasks;
+    return static_cast<std::size_t>(std::count_if(
+        tasks.begin(), tasks.end(), [](const auto& k) { return k.state != RunState::exited; }));
+  }
+  void end(const std::string& name, const std::string& job) {
+    for (auto& k : workers.at(name).tasks)
+      if (k.id.job == job) k.state = RunState::exited, k.why = wire::Why::done;
+  }
+  // Each is asked; the dead do not answer.
+  std::size_t probe(double now, const std::set<std::string>& dead) {
+    auto list = desk->probes(now);
+    for (const auto& p : list) desk->probed(p.machine, !dead.contains(p.machine), now + 0.1);
+    return list.size();
+  }
+};
+
+// When arrays were through, replicas stood on hundreds of machines, one or two on each, for as long
+// as their services ran.
+TEST(Packing, ReplicasOnNearlyEmptyMachinesAreMovedTogether) {
+  Site d;
+  d.machine("m-1", 0);
+  d.job(1, 1, 1, true, 0);
+  d.all_report(1);
+  auto filler = d.job(2, 1, 3, false, 1);
+  d.all_report(2);
+  ASSERT_EQ(d.on("m-1"), 2u);
+  d.machine("m-2", 2);
+  d.job(3, 1, 1, true, 2);
+  d.job(4, 1, 1, true, 2);
+  d.all_report(3);
+  ASSERT_EQ(d.on("m-2"), 2u);
+  d.end("m-1", filler.spec.id);
+  for (double now = 4; now < 40; now += 2) {
+    d.all_report(now);
+    d.desk->tick(now);
+    ASSERT_EQ(d.on("m-1") + d.on("m-2"), 3u) << "moved at " << now << ", before it had settled";
+  }
+  // The fuller one stays; the other's replica is stopped, and starts again there.
+  for (double now = 40; now < 70; now += 1) {
+    d.desk->tick(now);
+    d.commit(now);
+    for (auto& o : d.desk->direct_orders(
+             true, [](const auto&) { return false; }, now)) {
+      Worker& k = d.workers.at(o.machine);
+      k.obey(d.desk->token(), o.commands, k.session, -1e9, now, d.rng);
+      d.desk->direct_done(o, 200);
+      d.desk->report(k.report(), now, true);
+    }
+    d.all_report(now + 0.5);
+  }
+  EXPECT_EQ(d.on("m-2"), 3u);
+  EXPECT_EQ(d.on("m-1"), 0u);
+  EXPECT_EQ(d.desk->returns(), std::vector<std::string>{"m-1"});
+}
+
+// Replicas on a machine that died waited 65 s for the proof by silence.
+TEST(Doubts, AMachineWithReplicasThatDoesNotAnswerIsDeletedLongBeforeItsLeaseIsOver) {
+  Site d;
+  for (int i = 1; i <= 4; ++i) {
+    d.machine("m-" + std::to_string(i), 0);
+    d.job(i, 4, 1, true, 0);
+    d.all_report(0.5 + i);
+  }
+  const std::set<std::string> dead{"m-1"};
+  double gone = 0;
+  for (double now = 6; now < 20 && !gone; now += 0.25) {
+    if (static_cast<int>(now * 4) % 12 == 0) d.all_report(now, dead);
+    d.desk->tick(now);
+    d.probe(now, dead);
+    for (const auto& name : d.desk->returns()) {
+      EXPECT_EQ(name, "m-1");
+      gone = now;
+    }
+  }
+  EXPECT_GT(gone, 6);
+  EXPECT_LT(gone, 6 + d.s.lease_s / 2);
+  // Nothing of it runs elsewhere before the deletion is answered.
+  EXPECT_EQ(d.desk->load(gone).capacity, 3);
+  d.machine("m-5", gone);
+  d.all_report(gone, dead);
+  EXPECT_EQ(d.on("m-5"), 0u);
+  d.desk->machine_gone("m-1", gone);
+  d.commit(gone);
+  d.all_report(gone + 1, dead);
+  EXPECT_EQ(d.on("m-5"), 4u);
+}
+
+// Where a network is cut, or this node stood still, hundreds are silent at once: none is deleted.
+TEST(Doubts, ACutZoneIsNotDeletedNorMoreThanAShareAtOnce) {
+  Site d;
+  for (int i = 1; i <= 40; ++i) {
+    d.machine("m-" + std::to_string(100 + i), 0, i % 2 ? "a" : "b");
+    d.job(i, 4, 1, true, 0);
+    d.all_report(0.1 * i);
+  }
+  std::set<std::string> zone_a, few;
+  for (const auto& [name, k] : d.workers)
+    if (k.zone == "a") zone_a.insert(name);
+  for (double now = 6; now < 16; now += 0.5) {
+    if (static_cast<int>(now * 2) % 6 == 0) d.all_report(now, zone_a);
+    d.probe(now, zone_a);
+  }
+  EXPECT_TRUE(d.desk->returns().empty());
+  // All are heard again; then nine of the twenty of a zone are dead at once.
+  d.all_report(16);
+  for (const auto& name : zone_a)
+    if (few.size() < 9) few.insert(name);
+  for (double now = 17; now < 30; now += 0.25) {
+    if (static_cast<int>(now * 4) % 12 == 0) d.all_report(now, few);
+    d.probe(now, few);
+  }
+  const auto back = d.desk->returns();
+  EXPECT_EQ(back.size(), 6u);  // 15% of 40 within a lease
+  for (const auto& name : back) EXPECT_TRUE(few.contains(name));
+}
+
+// A machine whose reports arrive and whose answers do not looked alive for ever; every start on it
+// was lost.
+TEST(Doubts, AMachineThatHearsNothingGetsNothingNewAndIsReplaced) {
+  Site d;
+  d.machine("m-1", 0);
+  d.machine("m-2", 0);
+  d.machine("m-3", 0);
+  d.all_report(1);
+  d.job(1, 3, 4, false, 1);
+  d.commit(1);
+  // The starts on m-1 are sent in answers that do not get there.
+  for (double now = 2; now < 6; now += 1) d.report("m-1", now, true);
+  for (const char* m : {"m-2", "m-3"}) d.report(m, 6);
+  EXPECT_FALSE(d.probe(6.1, {"m-1"}) == 0);
+  d.probe(7, {"m-1"});
+  EXPECT_EQ(d.desk->returns(), std::vector<std::string>{"m-1"});
+  EXPECT_EQ(d.on("m-1"), 0u);
+}
+TEST(Doubts, AMachineThatHearsAgainIsTakenBack) {
+  Site d;
+  d.machine("m-1", 0);
+  d.machine("m-2", 0);
+  d.all_report(1);
+  d.job(1, 2, 4, false, 1);
+  d.commit(1);
+  d.report("m-2", 1.5);
+  for (double now = 2; now < 6; now += 1) d.report("m-1", now, true);
+  EXPECT_EQ(d.probe(6.1, {}), 1u);
+  for (double now = 12; now < 40; now += 2) {
+    d.desk->tick(now);
+    d.all_report(now);
+    d.probe(now, {});
+  }
+  EXPECT_TRUE(d.desk->returns().empty());
+  EXPECT_EQ(d.on("m-1") + d.on("m-2"), 2u);
+}
+
+// Copies of a report come late, over and over: they put off the proof by silence, and were answered
+// with starts that nobody got.
+TEST(Copies, AReportThatComesAgainProvesAndRenewsNothing) {
+  Site d;
+  d.machine("m-1", 0);
+  d.job(1, 1, 4, false, 0);
+  d.all_report(1);
+  ASSERT_EQ(d.on("m-1"), 1u);
+  auto copy = d.workers.at("m-1").report();
+  d.desk->report(copy, 2);
+  d.desk->orders("m-1", true, 2);
+  d.machine("m-2", 2);
+  double again = 0;
+  for (double now = 3; now < 60 && !again; now += 1) {
+    const auto heard = d.desk->report(copy, now);
+    EXPECT_EQ(heard, now - 2 <= 4 ? fleet::Desk::Heard::older : fleet::Desk::Heard::unknown);
+    d.report("m-2", now);
+    d.report("m-2", now + 0.1);
+    d.desk->tick(now);
+    if (d.on("m-2")) again = now;
+  }
+  // It is over a lease and two reports after the last that was heard of it, copies or not, and not
+  // before every lease that an answer may have renewed is over.
+  EXPECT_GE(again, 6 + d.s.lease_s);
+  EXPECT_LE(again, 8 + d.s.lease_s + 2 * d.s.report_s);
+}
+
+// With the whole fleet rented, up to 1,000 machines stood ordered at a time, each refusal sent
+// their tasks through the chain again, and a controller was at its processor limit.
+TEST(Rents, AreGrantedStepByStepAfterARefusal) {
+  Site d;
+  d.job(1, 400, 4, false, 0);
+  d.commit(0);
+  std::size_t first = 0;
+  for (const auto& w : d.desk->rent_wishes(0)) {
+    first += w.machines.size();
+    d.desk->refused(w, 0, true, 0);
+  }
+  EXPECT_GE(first, 50u);
+  for (double now = 0.5; now < 40; now += 0.5) {
+    d.desk->turn(now);
+    std::size_t wished = 0;
+    for (const auto& w : d.desk->rent_wishes(now)) {
+      EXPECT_LE(w.machines.size(), 2u);
+      wished += w.machines.size();
+      d.desk->refused(w, 0, true, now);
+    }
+    EXPECT_LE(wished, 8u);  // two tiers, two zones
+  }
+  // Once some are to be had it asks for more each time.
+  std::size_t most = 0;
+  int n = 0;
+  for (double now = 60; now < 80; now += 0.5) {
+    d.desk->turn(now);
+    for (const auto& w : d.desk->rent_wishes(now)) {
+      std::vector<std::string> names;
+      for (std::size_t i = 0; i < w.machines.size(); ++i)
+        names.push_back("m-" + std::to_string(5000 + n++));
+      most = std::max(most, names.size());
+      d.desk->rented(w, names, now);
+    }
+  }
+  EXPECT_GE(most, 32u);
+}
+
+// First come, first served kept arrays of 35 s behind arrays of 150 s that had minutes to spare.
+TEST(Order, StandardWorkGoesByWhenItShouldStartAndNothingIsPassedOverForLong) {
+  Site d;
+  d.machine("m-1", 0);
+  auto running = d.job(1, 1, 4, false, 0, 1000);
+  d.all_report(0.5);
+  d.job(2, 1, 4, false, 1, 500);  // first, but with time to spare
+  auto tight = d.job(3, 1, 4, false, 2, 60);
+  d.all_report(3);
+  d.end("m-1", running.spec.id);
+  d.all_report(4);
+  ASSERT_EQ(d.on("m-1"), 1u);
+  EXPECT_TRUE(std::any_of(d.workers.at("m-1").tasks.begin(), d.workers.at("m-1").tasks.end(),
+                          [&](const auto& k) { return k.id.job == tight.spec.id; }));
+  // What came 120 s later goes behind it, however tight.
+  auto r = make_job(9, 1, 4);
+  jobs::Job patient(r, 0, 0, 1, 0, 0);
+  EXPECT_DOUBLE_EQ(patient.latest_start(), 120);
+}
+
+// In a full fleet a replica waited until an array's task had been stopped and had saved.
+TEST(Reserve, ALittleRoomIsKeptForUrgentWorkWhereItIsLittle) {
+  Site d;
+  for (int i = 0; i < 60; ++i) d.machine("m-" + std::to_string(100 + i), 0, i % 2 ? "a" : "b");
+  d.job(1, 3, 1, true, 0);
+  d.all_report(1);
+  d.desk->tick(2);
+  d.job(2, 300, 1, false, 2);
+  for (int k = 0; k < 4; ++k) d.all_report(3 + k);
+  std::size_t running = 0;
+  for (const auto& [name, k] : d.workers) running += d.on(name);
+  EXPECT_GE(running, 240u - 4);
+  EXPECT_LE(running, 240u - 2);
+  // It goes to the next urgent job at once.
+  d.job(3, 2, 1, true, 8);
+  d.all_report(9);
+  running = 0;
+  for (const auto& [name, k] : d.workers) running += d.on(name);
+  EXPECT_GE(running, 240u - 2);
+}
+
+// ---- answers about jobs that are over
+
+// Each question had a read of its own, served within three seconds or not at all: with thousands of
+// jobs over and many asked about, every answer came too late for its user.
+RC_GTEST_PROP(FinalReads, EveryQuestionIsAnsweredWithinFewReadsAndTruly, ()) {
+  using jobs::FinalReads;
+  using jobs::Found;
+  FinalReads reads;
+  std::set<std::string> there;
+  struct Question {
+    std::string id;
+    bool was_there;  // when it was asked
+    std::optional<Found> answer;
+  };
+  std::vector<std::unique_ptr<Question>> all;
+  auto id = [](int n) { return "run-" + std::to_string(100000 + n); };
+  auto ask = [&] {
+    const auto n = id(*rc::gen::inRange(0, 3000));
+    all.push_back(std::make_unique<Question>(Question{n, there.contains(n), {}}));
+    Question* q = all.back().get();
+    RC_ASSERT(reads.want(n, [q](Found f) { q->answer = f; }));
+  };
+  // What the state service says: a range holds 100 records here.
+  auto carry_out = [&](const FinalReads::Ask& a, const std::set<std::string>& seen) {
+    std::vector<std::string> found;
+    if (!a.range) {
+      if (seen.contains(a.id)) found.push_back(a.id);
+      return reads.answered(a, found, false);
+    }
+    const std::string after = FinalReads::before(a.id);
+    auto it = seen.upper_bound(after);
+    for (; it != seen.end() && found.size() < 100; ++it) found.push_back(*it);
+    reads.answered(a, found, it != seen.end());
+  };
+  for (int i = *rc::gen::inRange(0, 2000); i > 0; --i) there.insert(id(*rc::gen::inRange(0, 3000)));
+  std::vector<std::pair<FinalReads::Ask, std::set<std::string>>> out;
+  const int steps = *rc::gen::inRange(10, 60);
+  for (int i = 0; i < steps; ++i) {
+    for (int k = *rc::gen::inRange(0, 30); k > 0; --k) ask();
+    there.insert(id(*rc::gen::inRange(0, 3000)));
+    while (auto a = reads.next()) out.emplace_back(*a, there);
+    RC_ASSERT(out.size() <= 7u);
+    if (out.empty() || *rc::gen::inRange(0, 3) == 0) continue;
+    auto [a, seen] = out.front();
+    out.erase(out.begin());
+    if (*rc::gen::inRange(0, 8) == 0)
+      reads.failed(a);
+    else
+      carry_out(a, seen);
+  }
+  // The troubles are over: what still waits is through after as many reads as the records fill.
+  int rounds = 0;
+  for (; !out.empty() || reads.waiting(); ++rounds) {
+    while (auto a = reads.next()) out.emplace_back(*a, there);
+    RC_ASSERT(!out.empty());
+    auto [a, seen] = out.front();
+    out.erase(out.begin());
+    carry_out(a, seen);
+  }
+  RC_ASSERT(rounds <= 7 + 2 * static_cast<int>(there.size() / 100 + 1) + 8);
+  for (const auto& q : all) {
+    RC_ASSERT(q->answer.has_value());
+    if (*q->answer == Found::yes) RC_ASSERT(there.contains(q->id));
+    if (*q->answer == Found::no) RC_ASSERT(!q->was_there);
+  }
+}
+
+}  // namespace
+}  // namespace shunt::test
