--- a/src/fleet/doubts.cpp
+++ b/src/fleet/doubts.cpp
@@ -19,7 +19,7 @@
 }
 // Where reports are far apart a machine is asked in between as well.
 bool Doubts::quiet(const Machine& m, double now) const {
-  return now - std::max(m.last_report, m.alive_at) > std::min(kQuiet, common_.settings.report_s);
+  return now - std::max(m.last_report, m.alive_at) > std::min(kQuiet, 0.6 * common_.settings.report_s);
 }
 
 // The zone's machines are heard, by and large. Where most are silent at once a network is cut, or
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -341,6 +341,12 @@
       pump(*n);
       if (n->desk) direct(*n);
       if (n->desk && !n->cut && !n->txn && n->desk->wants_raise(now_)) raise(*n);
+      if (n->desk && now_ - n->fresh < 5)
+        for (const auto& p : n->desk->probes(now_))
+          n->desk->probed(p.machine,
+                          chance(0.8) && std::any_of(workers_.begin(), workers_.end(),
+                                                     [&](auto& w) { return w.name == p.machine; }),
+                          now_);
       if (!n->desk) continue;
       for (auto& w : n->desk->rent_wishes(now_)) n->desk->refused(w, 0, true, now_);
       for (auto& name : n->desk->returns()) {
@@ -386,6 +392,9 @@
         it->target = 1 - it->target;
         continue;
       }
+      // A copy of it comes as well, from seconds to well over a lease later, to either node.
+      if (chance(0.08))
+        held_.push_back({now_ + static_cast<double>(rng_() % 90), static_cast<int>(rng_() % 2), r});
       deliver(it->target, r, &*it, now_);
       check();
     }
