A node that hears neither the state service nor a sibling leaves its users to others

The decision is a function of what was heard now (peer::another_serves), with its test; in an outage, when siblings are heard and none serves, nobody leaves.

--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -10,10 +10,9 @@
 namespace shunt::front {
 namespace {
 constexpr double kBeatGap = 1;
-constexpr double kLoadFresh = 2.5;     // a shard's load is acted on for so long
-constexpr double kGiveGap = 2.5;       // what was given has to show before more is
-constexpr double kPeersUnknown = 2.5;  // after a start
-constexpr double kServesFor = 3;       // a peer's word that it can serve
+constexpr double kLoadFresh = 2.5;  // a shard's load is acted on for so long
+constexpr double kGiveGap = 2.5;    // what was given has to show before more is
+constexpr double kServesFor = 3;    // a peer's word that it can serve
 }  // namespace
 
 Peers::Peers(actor::Loop& loop, Parts& parts)
@@ -39,17 +38,7 @@
   post([this, ex] { take(ex); });
 }
 
-bool Peers::another_serves() const {
-  const double now = loop_.now();
-  if (now - started_at_ < kPeersUnknown) return true;
-  // Heard by none: cut off from them as well, or they have all just ended. In an outage they are
-  // heard, and none serves.
-  if (std::none_of(news_.begin(), news_.end(),
-                   [&](const News& n) { return now - n.at < kServesFor; }))
-    return news_.size() > 1;
-  return std::any_of(news_.begin(), news_.end(),
-                     [&](const News& n) { return n.serving && now - n.at < kServesFor; });
-}
+bool Peers::another_serves() const { return peer::another_serves(news_, started_at_, loop_.now()); }
 
 void Peers::take(const net::ExchangePtr& ex) {
   const int shards = parts_.settings.shards();
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -31,11 +31,7 @@
 
   Parts& parts_;
   std::vector<std::unique_ptr<net::Client>> clients_;  // by node; none: this one
-  struct News {
-    double at = -1e9;
-    bool serving = false;
-  };
-  std::vector<News> news_;  // by node
+  std::vector<peer::News> news_;                       // by node
   struct LoadNews {
     double at = -1e9;
     shard::Load load;
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -33,6 +33,19 @@
 }
 }  // namespace
 
+bool another_serves(const std::vector<News>& nodes, double started_at, double now) {
+  constexpr double kUnknown = 2.5;  // after a start: the others have not been heard yet
+  constexpr double kServesFor = 3;  // a node's word
+  if (now - started_at < kUnknown) return true;
+  bool heard = false;
+  for (const News& n : nodes) {
+    if (now - n.at >= kServesFor) continue;
+    if (n.serving) return true;
+    heard = true;
+  }
+  return !heard && nodes.size() > 1;
+}
+
 std::string encode(const Beat& b) { return bytes_of(b); }
 std::string encode(const Passed& p) { return bytes_of(p); }
 
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -34,6 +34,17 @@
 // None: garbage, or a version that this build does not know.
 std::optional<Passed> decode_passed(const std::string& bytes, int nodes);
 
+// What a node has last said of itself, and when; the steady clock's seconds.
+struct News {
+  double at = -1e9;
+  bool serving = false;
+};
+// By node, this one included, of which there is never any: whether users that find nothing served
+// here may be better off elsewhere. Somebody serves; or nobody is heard, since then this node is
+// cut off, from them as well. In an outage they are heard and none serves: leaving would help
+// nobody.
+bool another_serves(const std::vector<News>& nodes, double started_at, double now);
+
 std::string encode(const Beat& b);
 std::optional<Beat> decode(const std::string& bytes, int nodes);  // none: garbage
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -180,6 +180,19 @@
   EXPECT_EQ(message(R"({"host_name":"a","zone":"z","front":"1.2.3.4:99999"})"),
             "front: has a bad port");
 }
+// A controller that lost the state service and the other controllers, but not its workers, told the
+// load balancer that it was well, and answered every user 503.
+TEST(Peer, ANodeThatHearsNobodyLeavesItsUsersToOthersAndAnOutageMovesNobody) {
+  using peer::News;
+  const News self, serves{99, true}, waits{99, false}, old{90, true};
+  EXPECT_TRUE(peer::another_serves({self, serves, waits}, 0, 100));
+  EXPECT_FALSE(peer::another_serves({self, waits, waits}, 0, 100));  // an outage
+  EXPECT_FALSE(peer::another_serves({self, waits, old}, 0, 100));
+  EXPECT_TRUE(peer::another_serves({self, old, old}, 0, 100));  // cut off from all
+  EXPECT_TRUE(peer::another_serves({self, old}, 99, 100));      // just started
+  EXPECT_FALSE(peer::another_serves({self}, 0, 100));           // there is nobody else
+}
+
 // A deployment whose teams have neither guarantees nor limits says so by 0, and every submission
 // was answered 422.
 TEST(Settings, NoLimitIsNotALimitOfNothing) {
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -155,6 +155,35 @@
   EXPECT_EQ(d.desk->returns(), std::vector<std::string>{"m-1"});
 }
 
+TEST(Packing, WhatHasJustStartedIsNotMovedAgain) {
+  Site d;
+  for (int i = 0; i < 20; ++i) {
+    d.machine("m-" + std::to_string(100 + i), 0);
+    d.job(100 + i, 4, 1, true, 0);
+    d.all_report(0.1 * i);
+  }
+  d.machine("m-x", 2);
+  d.job(1, 1, 1, true, 2);
+  d.all_report(3);
+  d.machine("m-y", 3);
+  auto filler = d.job(2, 1, 3, false, 3);
+  d.all_report(4);
+  d.job(3, 2, 1, true, 4);
+  d.all_report(5);
+  d.end("m-x", filler.spec.id);
+  // Room enough for its replica, and moves enough in hand, from the first look on.
+  for (double now = 6; now < 40; now += 2) {
+    d.all_report(now);
+    d.desk->tick(now);
+    ASSERT_EQ(d.desk->counters().emptied, 0u) << "at " << now;
+  }
+  for (double now = 40; now < 50; now += 2) {
+    d.all_report(now);
+    d.desk->tick(now);
+  }
+  EXPECT_EQ(d.desk->counters().emptied, 1u);
+}
+
 // Replicas on a machine that died waited 65 s for the proof by silence.
 TEST(Doubts, AMachineWithReplicasThatDoesNotAnswerIsDeletedLongBeforeItsLeaseIsOver) {
   Site d;
@@ -211,11 +240,30 @@
     if (static_cast<int>(now * 4) % 40 == 0) d.all_report(now, few);
     d.probe(now, few);
   }
-  const auto back = d.desk->returns();
+  auto back = d.desk->returns();
   EXPECT_EQ(back.size(), 6u);  // 15% of 40 within a lease
   for (const auto& name : back) EXPECT_TRUE(few.contains(name));
 }
 
+// A switch takes most of a zone with it, though not all: the few that answer are no evidence.
+TEST(Doubts, MostOfAZoneSilentIsACutThoughSomeAnswer) {
+  Site d;
+  std::set<std::string> dead;
+  for (int i = 1; i <= 30; ++i) {
+    const std::string name = "m-" + std::to_string(100 + i);
+    d.machine(name, 0);
+    d.job(i, 4, 1, true, 0);
+    d.all_report(0.1 * i);
+    if (i % 3) dead.insert(name);
+  }
+  for (double now = 6; now < 30; now += 0.25) {
+    if (static_cast<int>(now * 4) % 40 == 0) d.all_report(now, dead);
+    d.probe(now, dead);
+  }
+  // What died before that shows is deleted: one, at the most, since all go silent together.
+  EXPECT_LE(d.desk->returns().size(), 1u);
+}
+
 // A machine whose reports arrive and whose answers do not looked alive for ever; every start on it
 // was lost.
 TEST(Doubts, AMachineThatHearsNothingGetsNothingNewAndIsReplaced) {
