A job that goes while all keys are read anew does not come back in the cache

Cause: after a watch that is too old, all keys are read page by page. A cancellation or an end that was answered meanwhile was applied to the cache, then undone by a page read before it; the watch's own drop was taken for old news. The job stayed live at that node for good: polls there called it queued once its final record had left memory, and every transaction of its shard was guarded on a key that is not there.

Change: World::replace honours the tombstones of what was dropped since.

--- a/src/state/world.cpp
+++ b/src/state/world.cpp
@@ -135,6 +135,8 @@
   std::set<std::string> here;
   for (const auto& e : items) {
     here.insert(e.key);
+    // Dropped by a commit that was answered while the pages were read: its page is older news.
+    if (auto tomb = tombs_.find(e.key); tomb != tombs_.end() && tomb->second >= e.stamp) continue;
     if (stamp(e.key) < e.stamp) {
       stamps_[e.key] = e.stamp;
       set(e, changes);
--- a/src/state/world.h
+++ b/src/state/world.h
@@ -66,7 +66,8 @@
   // An event of a watch, or a write of our own that was answered. Older news of a key than what
   // is known changes nothing, so both may come in any order and more than once.
   void apply(const wire::Event& e, std::vector<Change>& changes);
-  // All keys, read anew: what is not in `items` is gone.
+  // All keys, read anew: what is not in `items` is gone. `revision`: of the first page. Our own
+  // commits may have been applied since.
   void replace(std::uint64_t revision, const std::vector<wire::Event>& items,
                std::vector<Change>& changes);
   // Everything up to here has been applied.
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -64,6 +64,78 @@
   EXPECT_EQ(w.job("run-100000"), nullptr);
 }
 
+// All keys are read page by page, at different revisions, while this node's own commits are
+// answered and before the watch goes on from the first page's: the cache still ends as the store,
+// and a job that was known to be gone is not live in between. (A job whose cancellation was
+// answered during the reading came back for good: the watch's drop was taken for old news.)
+RC_GTEST_PROP(World, EndsAsTheStoreWhenAllIsReadAnewMeanwhile, ()) {
+  config::Settings s = make_settings();
+  Store store;
+  state::World w(s);
+  std::vector<state::Change> changes;
+  auto key = [](int n) { return state::job_key("run-" + std::to_string(100000 + n)); };
+  std::set<int> used;
+  auto step = [&](int what, bool own) {
+    const int n = what % 6;
+    wire::Txn t;
+    if (store.stamp(key(n)))
+      t.ops.push_back({key(n), std::nullopt, 0});
+    else if (used.insert(n).second)  // a job's key is set once
+      t.ops.push_back({key(n), wire::encode_record(make_job(n, 2, 1)), 0});
+    if (t.ops.empty()) return;
+    auto rev = store.commit(t);
+    if (!own) return;
+    for (const auto& op : t.ops) w.apply({op.key, op.value, *rev}, changes);
+  };
+  using Steps = std::vector<std::pair<int, bool>>;
+  auto steps = [] {
+    return *rc::gen::container<Steps>(
+        rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::arbitrary<bool>()));
+  };
+  for (auto [what, own] : steps()) step(what, own);
+  store.read(w, changes);
+  for (auto [what, own] : steps()) step(what, own);
+  // Three pages, and what happens between them.
+  std::vector<wire::Event> items;
+  const std::uint64_t first = store.revision;
+  for (int page = 0; page < 3; ++page) {
+    for (int n = 2 * page; n < 2 * page + 2; ++n)
+      if (store.stamp(key(n)))
+        items.push_back({key(n), store.keys[key(n)].value, store.stamp(key(n))});
+    for (auto [what, own] : steps()) step(what, own);
+  }
+  std::set<std::string> gone;
+  for (int n : used)
+    if (std::string id = "run-" + std::to_string(100000 + n); !w.job(id) && !store.stamp(key(n)))
+      gone.insert(id);
+  const bool knew_all = w.revision() >= first;
+  w.replace(first, items, changes);
+  if (knew_all)
+    for (const auto& id : gone) RC_ASSERT(!w.job(id));
+  store.read(w, changes);
+  for (int n = 0; n < 6; ++n) {
+    RC_ASSERT(w.stamp(key(n)) == store.stamp(key(n)));
+    RC_ASSERT((w.job("run-" + std::to_string(100000 + n)) != nullptr) ==
+              (store.stamp(key(n)) != 0));
+  }
+}
+TEST(World, AJobThatGoesWhileAllIsReadAnewStaysGone) {
+  config::Settings s = make_settings();
+  state::World w(s);
+  std::vector<state::Change> ch;
+  const std::string key = state::job_key("run-100000"),
+                    value = wire::encode_record(make_job(0, 1, 1));
+  w.apply({key, value, 5}, ch);
+  w.advance(6);
+  w.apply({key, std::nullopt, 9}, ch);  // answered while the pages are read
+  w.replace(7, {{key, value, 5}}, ch);
+  EXPECT_EQ(w.job("run-100000"), nullptr);
+  w.apply({key, std::nullopt, 9}, ch);
+  w.advance(9);
+  EXPECT_EQ(w.job("run-100000"), nullptr);
+  EXPECT_EQ(w.stamp(key), 0u);
+}
+
 struct Cluster {
   config::Settings base = make_settings(3);
   Store store;
