The newest copy of a chunk's results counts after a takeover, whichever sheet holds it

Cause: a chunk's results move to another sheet as they grow, and older copies stay behind. A new owner took the copy in the highest sheet for the one that counts and dropped the others as their sheets were written anew. Where that was the older one, results were off the record though their tasks had been reaped: after one more takeover finished tasks ran again.

Change: Sheets::inherit takes the largest copy, which is the newest, since what is done stays so.

Measured: the test fails without it ({0} of {0, 1, 2} on record), passes with it.

--- a/src/fleet/sheets.cpp
+++ b/src/fleet/sheets.cpp
@@ -40,6 +40,13 @@
       j = it->second;
       for (const auto& [c, list] : g.done) {
         mine.done.emplace_back(j, c);
+        // Older copies stay behind where a chunk has moved on. The largest is the newest, since
+        // what is done stays so; with another one taken for it, the newest would be dropped.
+        std::uint64_t tasks = 0;
+        for (auto [a, b] : list) tasks += b - a + 1;
+        auto [known, fresh] = largest_.try_emplace({g.job, c}, tasks);
+        if (!fresh && known->second >= tasks) continue;
+        known->second = tasks;
         j->done_sheet[c] = sheet;
       }
     } else {
--- a/src/fleet/sheets.h
+++ b/src/fleet/sheets.h
@@ -1,6 +1,7 @@
 // What a shard keeps in the state service: placements and finished tasks, in sheets that many
 // starts share, and the ends of its jobs. At most one transaction is out at a time. Pure.
 #pragma once
+#include <map>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -53,6 +54,8 @@
   Machines& machines_;
   Placements& placements_;
   std::vector<Sheet> sheets_;
+  // By job and chunk: how many tasks the largest copy shows that has been inherited.
+  std::map<std::pair<std::string, std::uint32_t>, std::uint64_t> largest_;
   std::optional<Out> out_;
 };
 
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -128,6 +128,61 @@
   EXPECT_EQ(after[0].op, wire::Command::Op::forget);
 }
 
+// A chunk's results move to another sheet as they grow, and an older copy stays behind. An owner
+// that took the older copy for the one that counts dropped the newer one with the next change of
+// its sheet: after one more takeover, finished tasks that had been reaped ran again.
+TEST(Desk, FinishedTasksStayOnRecordWhicheverSheetHoldsTheNewestCopy) {
+  for (int newest : {3, 5}) {
+    SCOPED_TRACE(newest);
+    OneDesk d;
+    const int older = 8 - newest;
+    auto r = make_job(1, 4, 1);
+    // Every other sheet holds more, so that these two are written first.
+    std::vector<wire::JobRecord> fillers;
+    for (int i = 0; i < 6; ++i) fillers.push_back(make_job(10 + i, 100000, 1));
+    wire::Txn txn;
+    for (const auto& j : fillers)
+      txn.ops.push_back({state::job_key(j.spec.id), wire::encode_record(j), 0});
+    txn.ops.push_back({state::job_key(r.spec.id), wire::encode_record(r), 0});
+    auto put = [&](int sheet, std::vector<wire::SheetJob> jobs) {
+      txn.ops.push_back({state::sheet_key(0, sheet),
+                         wire::encode_record(wire::SheetRecord{"0", std::move(jobs)},
+                                             [](int) { return std::string("red"); }),
+                         0});
+    };
+    auto of = [](const wire::JobRecord& j, std::uint32_t chunk, wire::Intervals done) {
+      wire::SheetJob g{j.spec.id, 0, 1, 0, 1, {}, {}};
+      g.done.emplace_back(chunk, std::move(done));
+      return g;
+    };
+    for (int sheet = 0; sheet < 256; ++sheet) {
+      if (sheet == newest) put(sheet, {of(r, 0, {{0, 2}})});
+      if (sheet == older) put(sheet, {of(r, 0, {{0, 0}})});
+      if (sheet == newest || sheet == older) continue;
+      const std::uint32_t chunk = static_cast<std::uint32_t>(sheet % 128);
+      const std::size_t first = sheet < 128 ? 0 : 3;
+      put(sheet, {of(fillers[first], chunk, {{0, 0}}), of(fillers[first + 1], chunk, {{0, 0}}),
+                  of(fillers[first + 2], chunk, {{0, 0}})});
+    }
+    d.store.commit(txn);
+    // The takeover.
+    d.read();
+    d.machine("m-1");
+    for (const auto& [id, j] : d.w.jobs())
+      if (id == r.spec.id) d.desk->job_added(j.record, 0, d.w.done(id), 0, 0);
+    for (const auto& j : fillers) d.desk->job_added(j, 0, d.w.done(j.spec.id), 0, 0);
+    for (const auto& [n, sheet] : d.w.sheets(0)) d.desk->inherit(n, sheet, 0);
+    // Whatever starts next is written into the emptiest sheets.
+    for (int i = 0; i < 4; ++i) d.beat("m-1", 1 + i);
+    std::set<std::uint32_t> done;
+    for (const auto& [chunk, list] : d.w.done(r.spec.id))
+      for (auto [a, b] : list)
+        for (std::uint32_t t = a; t <= b; ++t) done.insert(t);
+    EXPECT_EQ(done, (std::set<std::uint32_t>{0, 1, 2}));
+    EXPECT_NE(d.w.sheets(0).at(newest).tag + d.w.sheets(0).at(older).tag, "00");
+  }
+}
+
 // A direct start without an answer may be carried out later: not reaped before a higher token.
 TEST(Desk, ALooseAttemptIsReapedOnlyUnderAHigherToken) {
   OneDesk d;
