Work without a place is looked at again each second, though nothing has happened

Cause: the chain is walked only when something has stirred.

Change: Desk::tick stirs after a second where tasks have no place.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr double kWorkerWaits = 4;  // for the answer to a report
+constexpr double kLookAgain = 1;    // at work that has no place, though nothing has happened
 }  // namespace
 
 Desk::Desk(const config::Settings& s, const config::Tuning& t, const Catalogue& c, int shard,
@@ -188,10 +189,16 @@
 
 void Desk::turn(double now) {
   common_.stirred = false;
+  turned_at_ = now;
   waiting_.admit(now);
 }
 
 void Desk::tick(double now) {
+  // Pauses end with time alone: the cloud's after a refusal, a machine's, a job's. A shard without
+  // machines hears nothing that would stir it, and its work stood still for good.
+  if (now - turned_at_ >= kLookAgain)
+    common_.stirred |= std::any_of(common_.jobs.begin(), common_.jobs.end(),
+                                   [](const auto& j) { return !j.second->pending.empty(); });
   const bool hear = now - last_heard_ < 2 * common_.settings.report_s;
   std::vector<int> withdrawn;
   for (auto& [n, m] : machines_.all()) {
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -183,6 +183,23 @@
   }
 }
 
+// The cloud had none; nothing else happened in the shard, which had no machine: it never asked
+// again.
+TEST(Desk, WorkIsTriedAgainAfterARefusalThoughNothingStirs) {
+  OneDesk d;
+  d.job(make_job(1, 2, 1));
+  double asked = -1;  // last
+  for (double now = 0; now < 60; now += 0.2) {
+    d.desk->tick(now);
+    if (d.desk->stirred()) d.desk->turn(now);
+    for (const auto& w : d.desk->rent_wishes(now)) {
+      asked = now;
+      d.desk->refused(w, 0, true, now);
+    }
+  }
+  EXPECT_GT(asked, 40);
+}
+
 // A direct start without an answer may be carried out later: not reaped before a higher token.
 TEST(Desk, ALooseAttemptIsReapedOnlyUnderAHigherToken) {
   OneDesk d;
