Whole sets in simulated time: the controllers' own code, troubles that meet, rules checked

Cause: what two troubles do to one another in Users, Store, Runner and Workers could not be brought about in a test: generated histories had a copy of those, and real processes take a minute for a minute.

Change: a loop may be driven by a simulated host instead of this machine's clock and sockets (actor::Clockwork, net::Network); no decision and no message changes. src/rehearsal has the simulation and a set: controllers, the one stand-in each for the state service, the cloud and now workers, users who submit, ask and cancel, and troubles; it checks ran_twice, quota, ran_cancelled, forgotten, not_done and went_back on the machines and in what users are told.

--- a/app/shuntctl.cpp
+++ b/app/shuntctl.cpp
@@ -149,7 +149,7 @@
 }
 
 int wait_for(ctl::Service& service, const Options& o) {
-  double until = o.timeout_s > 0 ? actor::Loop::now() + o.timeout_s : 1e18;
+  double until = o.timeout_s > 0 ? actor::steady_now() + o.timeout_s : 1e18;
   bool tty = ::isatty(2) && !o.as_json;
   std::string shown;
   while (true) {
@@ -172,7 +172,7 @@
         std::fprintf(stderr, "%s was cancelled\n", o.id.c_str());
       return exit;
     }
-    if (actor::Loop::now() > until) throw ctl::Failed(o.id + ": still " + shown);
+    if (actor::steady_now() > until) throw ctl::Failed(o.id + ": still " + shown);
     service.sleep(0.5);
   }
 }
--- a/src/actor/loop.cpp
+++ b/src/actor/loop.cpp
@@ -26,27 +26,44 @@
   if (!base_) throw std::runtime_error("cannot make an event loop");
 }
 
-double Loop::now() { return seconds(std::chrono::steady_clock::now().time_since_epoch()); }
-double Loop::wall_now() { return seconds(std::chrono::system_clock::now().time_since_epoch()); }
+double steady_now() { return seconds(std::chrono::steady_clock::now().time_since_epoch()); }
+double wall_now() { return seconds(std::chrono::system_clock::now().time_since_epoch()); }
 
-Timer::Timer(Loop& loop, std::function<void()> fn) : fn_(std::move(fn)) {
+Timer::Timer(Loop& loop, std::function<void()> fn)
+    : fn_(std::move(fn)), simulated_(loop.simulated()) {
+  if (simulated_) return;
   event_.reset(event_new(
       loop.base(), -1, 0,
       [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fn_(); }, this));
 }
 void Timer::after(double s) {
+  if (simulated_) {
+    handle_ = simulated_->schedule(s, fn_);
+    return;
+  }
   timeval tv = to_timeval(s);
   event_add(event_.get(), &tv);
 }
+void Timer::cancel() {
+  handle_.reset();
+  if (event_) event_del(event_.get());
+}
 
 Actor::Actor(Loop& loop) : loop_(loop) {
+  if (loop.simulated()) return;
   wake_.reset(event_new(
       loop.base(), -1, 0,
       [](evutil_socket_t, short, void* self) { static_cast<Actor*>(self)->drain(); }, this));
 }
 void Actor::post(Message m) {
   box_.push_back(std::move(m));
-  if (box_.size() == 1) event_active(wake_.get(), EV_TIMEOUT, 0);
+  if (box_.size() == 1) wake();
+}
+void Actor::wake() {
+  if (auto* c = loop_.simulated())
+    woken_ = c->schedule(0, [this] { drain(); });
+  else
+    event_active(wake_.get(), EV_TIMEOUT, 0);
 }
 void Actor::drain() {
   // Only what is here now: what these messages post runs in the next turn.
@@ -55,7 +72,7 @@
     m();
     box_.pop_front();
   }
-  if (!box_.empty()) event_active(wake_.get(), EV_TIMEOUT, 0);
+  if (!box_.empty()) wake();
 }
 
 }  // namespace shunt::actor
--- a/src/actor/loop.h
+++ b/src/actor/loop.h
@@ -14,16 +14,35 @@
 };
 using EventPtr = std::unique_ptr<event, EventFree>;
 
+double steady_now();  // this machine's steady clock, seconds
+double wall_now();    // its time of day, seconds
+
+// What drives a loop instead of this machine's clocks and events: a simulated host
+// (src/rehearsal).
+class Clockwork {
+ public:
+  using Handle = std::shared_ptr<void>;  // released: it does not run any more
+  virtual ~Clockwork() = default;
+  virtual double now() const = 0;
+  virtual double wall_now() const = 0;
+  // Runs `fn` once, in a turn of its own, so many seconds from now.
+  [[nodiscard]] virtual Handle schedule(double seconds, std::function<void()> fn) = 0;
+};
+
 class Loop {
  public:
   Loop();
+  explicit Loop(Clockwork& simulated) : simulated_(&simulated) {}
   event_base* base() const { return base_.get(); }
-  static double now();       // steady seconds
-  static double wall_now();  // time of day, seconds
+  Clockwork* simulated() const { return simulated_; }  // none: this machine's clocks
+  double now() const { return simulated_ ? simulated_->now() : steady_now(); }
+  double wall_now() const { return simulated_ ? simulated_->wall_now() : actor::wall_now(); }
+  // Of this machine's events alone.
   void run() { event_base_dispatch(base_.get()); }
   void stop() { event_base_loopbreak(base_.get()); }
 
  private:
+  Clockwork* simulated_ = nullptr;
   std::unique_ptr<event_base, EventFree> base_;
 };
 
@@ -33,10 +52,12 @@
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
   void after(double seconds);
-  void cancel() { event_del(event_.get()); }
+  void cancel();
 
  private:
   std::function<void()> fn_;
+  Clockwork* simulated_;
+  Clockwork::Handle handle_;
   EventPtr event_;
 };
 
@@ -64,9 +85,11 @@
   Loop& loop_;
 
  private:
+  void wake();
   void drain();
   std::deque<Message> box_;
   EventPtr wake_;
+  Clockwork::Handle woken_;
 };
 
 }  // namespace shunt::actor
--- a/src/checker/trial.cpp
+++ b/src/checker/trial.cpp
@@ -127,7 +127,7 @@
   const std::string log = p.dir / "log", locks = p.dir / "locks";
   fs::create_directories(locks);
   std::map<std::string, std::uint32_t> expected;
-  double began = actor::Loop::now(), next_kill = began + 1, next_look = began;
+  double began = actor::steady_now(), next_kill = began + 1, next_look = began;
   while (out.tasks < p.tasks) {
     far::Description d;
     d.job.id = ctl::fresh_id();
@@ -152,8 +152,8 @@
   }
   std::map<std::string, double> seen;
   std::map<pid_t, double> used;
-  while (seen.size() < expected.size() && actor::Loop::now() - began < p.limit_s) {
-    double now = actor::Loop::now();
+  while (seen.size() < expected.size() && actor::steady_now() - began < p.limit_s) {
+    double now = actor::steady_now();
     if (p.kill_every_s > 0 && now >= next_kill) {
       next_kill = now + p.kill_every_s * draw(0.5, 1.5);
       double kind = draw(0, 1);
@@ -178,12 +178,12 @@
     for (const auto& [id, n] : expected) {
       if (seen.contains(id)) continue;
       auto a = service.status(id);
-      if (a && a->state == wire::JobState::done) seen[id] = actor::Loop::wall_now();
-      if (actor::Loop::now() >= next_kill) break;
+      if (a && a->state == wire::JobState::done) seen[id] = actor::wall_now();
+      if (actor::steady_now() >= next_kill) break;
     }
     service.sleep(0.05);
   }
-  out.took_s = actor::Loop::now() - began;
+  out.took_s = actor::steady_now() - began;
   Attempts history;
   std::ifstream in(log);
   history.read(in);
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -9,7 +9,7 @@
 Client::Client(actor::Loop& loop, const config::Settings& s)
     : Actor(loop),
       http_(loop, s.cloud, 6, 64),
-      calls_(s.cloud_rps / s.shards(), actor::Loop::now(), 2),
+      calls_(s.cloud_rps / s.shards(), loop.now(), 2),
       timer_(loop, [this] { pump(); }) {}
 
 void Client::submit(Call c, bool urgent) {
@@ -23,7 +23,7 @@
 }
 
 void Client::pump() {
-  calls_.refill(actor::Loop::now());
+  calls_.refill(loop_.now());
   while (!urgent_.empty() || !other_.empty()) {
     if (double wait = calls_.wait_for(1); wait > 0) {
       timer_.after(wait);
--- a/src/ctl/service.cpp
+++ b/src/ctl/service.cpp
@@ -52,11 +52,11 @@
 }
 
 depot::Outcome Service::ask(const std::function<depot::Outcome()>& once) {
-  double until = actor::Loop::now() + kInsistFor;
+  double until = actor::steady_now() + kInsistFor;
   while (true) {
     depot::Outcome o = once();
     if (o != depot::Outcome::later) return o;
-    if (actor::Loop::now() > until) throw Failed("gave up: the depot does not answer");
+    if (actor::steady_now() > until) throw Failed("gave up: the depot does not answer");
     sleep(1);
   }
 }
@@ -82,12 +82,12 @@
 }
 
 net::Result Service::insist(const char* method, const std::string& path, const std::string& body) {
-  double until = actor::Loop::now() + kInsistFor;
+  double until = actor::steady_now() + kInsistFor;
   while (true) {
     net::Result r = once(method, path, body);
     if (is_final(r.status)) return r;
     double pause = std::clamp(r.retry_after_s, 1.0, 30.0);
-    if (actor::Loop::now() + pause > until) throw Failed("gave up: " + reason(r));
+    if (actor::steady_now() + pause > until) throw Failed("gave up: " + reason(r));
     sleep(pause);
   }
 }
@@ -189,7 +189,7 @@
   std::random_device chance;
   char id[32];
   std::snprintf(id, sizeof id, "run-%013llu%06u",
-                static_cast<unsigned long long>(actor::Loop::wall_now() * 1000),
+                static_cast<unsigned long long>(actor::wall_now() * 1000),
                 static_cast<unsigned>(chance() % 1000000));
   return id;
 }
--- a/src/front/controller.h
+++ b/src/front/controller.h
@@ -25,6 +25,8 @@
  public:
   Controller(actor::Loop& loop, const config::Settings& s, const config::Tuning& t,
              levels::Build build = levels::here());
+  // This node owns the shard, and its desk is open.
+  bool acts_for(int shard) const { return parts_.runner(shard).desk() != nullptr; }
 
  private:
   void tick();
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -21,7 +21,7 @@
       news_(parts.settings.shards()),
       loads_(parts.settings.shards()),
       gave_at_(parts.settings.shards(), -1e9),
-      started_at_(actor::Loop::now()) {
+      started_at_(loop.now()) {
   for (const auto& n : parts_.settings.nodes) {
     clients_.emplace_back();
     for (const auto& p : parts_.settings.peers)
--- a/src/local/children.cpp
+++ b/src/local/children.cpp
@@ -80,7 +80,7 @@
     ::_exit(127);
   }
   c.pid = pid;
-  c.began = actor::Loop::now();
+  c.began = actor::steady_now();
   c.kill_at = 0;
 }
 
@@ -95,7 +95,7 @@
     int code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
     c.pid = 0;
     if (c.kept) {
-      double now = actor::Loop::now();
+      double now = actor::steady_now();
       c.pause =
           now - c.began > kSettled ? kPauseLeast : std::clamp(2 * c.pause, kPauseLeast, kPauseMost);
       c.start_at = now + c.pause;
@@ -122,13 +122,13 @@
     return post(std::move(gone));
   }
   c.gone.push_back(std::move(gone));
-  c.kill_at = actor::Loop::now() + kKillAfter;
+  c.kill_at = actor::steady_now() + kKillAfter;
   ::kill(c.pid, signal);
   ::kill(c.pid, SIGCONT);  // one that stands still has to hear it, too
 }
 
 void Children::tick() {
-  double now = actor::Loop::now();
+  double now = actor::steady_now();
   for (auto& [name, c] : children_) {
     if (c.kept && !c.pid && now >= c.start_at) start(name, c);
     if (c.pid && c.kill_at > 0 && now > c.kill_at) ::kill(c.pid, SIGKILL);
--- a/src/local/door.cpp
+++ b/src/local/door.cpp
@@ -72,7 +72,7 @@
   for (const auto& [id, p] : passes_)
     if (p->controller >= 0) ++open[static_cast<std::size_t>(p->controller)];
   int best = -1;
-  double now = actor::Loop::now();
+  double now = actor::steady_now();
   for (std::size_t i = 0; i < states_.size(); ++i) {
     if (!states_[i].up || states_[i].skip_until > now) continue;
     if (best < 0 || open[i] < open[static_cast<std::size_t>(best)]) best = static_cast<int>(i);
@@ -175,7 +175,7 @@
     // Another one, as long as nothing of the request has been sent.
     State& s = states_[static_cast<std::size_t>(p.controller)];
     if (++s.failures >= kFailures) {
-      s.skip_until = actor::Loop::now() + kSkip;
+      s.skip_until = actor::steady_now() + kSkip;
       s.failures = 0;
     }
     if (p.tries < kTries)
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -27,7 +27,7 @@
 
 void write(spdlog::level::level_enum level, const char* what, nlohmann::json f) {
   if (!spdlog::should_log(level)) return;
-  f["at"] = actor::Loop::wall_now();
+  f["at"] = actor::wall_now();
   f["level"] = spdlog::level::to_string_view(level).data();
   f["program"] = program_name();
   f["what"] = what;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -66,10 +66,21 @@
   }
   body = take(evhttp_request_get_input_buffer(r));
 }
+Exchange::Exchange(const std::string& method, const std::string& path_and_query, std::string b,
+                   std::function<void(const Answer&)> reply)
+    : post(method == "POST"),
+      del(method == "DELETE"),
+      path(path_and_query.substr(0, path_and_query.find('?'))),
+      body(std::move(b)),
+      req_(nullptr),
+      reply_(std::move(reply)) {
+  if (path.size() < path_and_query.size()) query = path_and_query.substr(path.size() + 1);
+}
 Exchange::~Exchange() {
-  if (req_) send({503, "{\"error\":\"dropped\"}", 1});
+  if (!answered()) send({503, "{\"error\":\"dropped\"}", 1});
 }
 void Exchange::send(const Answer& a) {
+  if (auto reply = std::exchange(reply_, nullptr)) return reply(a);
   if (!req_) return;
   evhttp_request* r = std::exchange(req_, nullptr);
   evkeyvalq* h = evhttp_request_get_output_headers(r);
@@ -94,7 +105,12 @@
 
 Server::Server(actor::Loop& loop, const config::Endpoint& at, std::size_t max_body, Handler handler,
                bool deletes)
-    : handler_(std::move(handler)), http_(evhttp_new(loop.base())) {
+    : handler_(std::move(handler)) {
+  if (auto* network = dynamic_cast<Network*>(loop.simulated())) {
+    listening_ = network->listen(at, handler_);
+    return;
+  }
+  http_.reset(evhttp_new(loop.base()));
   evhttp* h = http_.get();
   evhttp_set_max_body_size(h, static_cast<ssize_t>(max_body));
   evhttp_set_max_headers_size(h, 16 * 1024);
@@ -118,6 +134,7 @@
   double timeout_s = 0;
   Done done;
   ConnPtr conn;
+  Network::Handle flight;  // on a simulated network
 };
 
 Client::Client(actor::Loop& loop, const config::Endpoint& to, std::size_t max_connections,
@@ -152,6 +169,16 @@
 }
 
 void Client::start(std::unique_ptr<Call> call) {
+  if (auto* network = dynamic_cast<Network*>(loop_.simulated())) {
+    Call* c = call.get();
+    busy_.push_back(std::move(call));
+    const char* method = c->method == EVHTTP_REQ_POST     ? "POST"
+                         : c->method == EVHTTP_REQ_DELETE ? "DELETE"
+                                                          : "GET";
+    c->flight = network->request(to_, method, c->path, c->body, c->timeout_s,
+                                 [this, c](Result r) { over(c, std::move(r)); });
+    return;
+  }
   if (!idle_.empty()) {
     call->conn = std::move(idle_.back());
     idle_.pop_back();
@@ -194,11 +221,17 @@
       if (later) res.retry_after_s = std::atof(later);
     }
   }
+  over(call, std::move(res));
+}
+
+void Client::over(Call* call, Result res) {
   auto it = std::find_if(busy_.begin(), busy_.end(), [&](auto& p) { return p.get() == call; });
   if (it == busy_.end()) return;
   std::unique_ptr<Call> mine = std::move(*it);
   busy_.erase(it);
-  if (res.status) {
+  if (!mine->conn) {
+    // A simulated network has no connections.
+  } else if (res.status) {
     idle_.push_back(std::move(mine->conn));
   } else {
     // libevent still uses the connection when this callback returns.
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,4 +1,5 @@
-// HTTP over libevent: a server whose requests may be answered later, and a client with a pool.
+// HTTP over libevent: a server whose requests may be answered later, and a client with a pool. On a
+// simulated host both go through its network instead.
 #pragma once
 #include <event2/http.h>
 
@@ -25,11 +26,14 @@
 class Exchange {
  public:
   explicit Exchange(evhttp_request* r);
+  // Of a simulated network: `reply` is called once.
+  Exchange(const std::string& method, const std::string& path_and_query, std::string body,
+           std::function<void(const Answer&)> reply);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
   void send(const Answer& a);
-  bool answered() const { return req_ == nullptr; }
+  bool answered() const { return !req_ && !reply_; }
 
   bool post = false;
   bool del = false;   // DELETE, where the server takes it
@@ -39,12 +43,33 @@
 
  private:
   evhttp_request* req_;
+  std::function<void(const Answer&)> reply_;
 };
 using ExchangePtr = std::shared_ptr<Exchange>;
 
 // The value of a query parameter, or an empty string.
 std::string query_value(const std::string& query, const std::string& name);
 
+struct Result {
+  int status = 0;  // 0: no answer
+  std::string body;
+  double retry_after_s = 0;  // as the answer has it; 0: it does not say
+};
+
+// The network of a simulated host: its Clockwork is one of these as well.
+class Network {
+ public:
+  using Handle = std::shared_ptr<void>;
+  using Handler = std::function<void(ExchangePtr)>;
+  virtual ~Network() = default;
+  // Released: nobody listens there any more.
+  [[nodiscard]] virtual Handle listen(const config::Endpoint& at, Handler handler) = 0;
+  // `done` is called in a turn of its own, once, unless the handle is released before.
+  [[nodiscard]] virtual Handle request(const config::Endpoint& to, std::string method,
+                                       std::string path, std::string body, double timeout_s,
+                                       std::function<void(Result)> done) = 0;
+};
+
 class Server {
  public:
   using Handler = std::function<void(ExchangePtr)>;
@@ -58,12 +83,7 @@
   };
   Handler handler_;
   std::unique_ptr<evhttp, HttpFree> http_;
-};
-
-struct Result {
-  int status = 0;  // 0: no answer
-  std::string body;
-  double retry_after_s = 0;  // as the answer has it; 0: it does not say
+  Network::Handle listening_;
 };
 
 class Client {
@@ -87,6 +107,7 @@
   using ConnPtr = std::unique_ptr<evhttp_connection, ConnFree>;
   void start(std::unique_ptr<Call> call);
   void finished(Call* call, evhttp_request* r);
+  void over(Call* call, Result r);
 
   actor::Loop& loop_;
   config::Endpoint to_;
--- /dev/null
+++ b/src/rehearsal/set.h
@@ -0,0 +1,148 @@
+// A whole set in simulated time: the library's own controllers, the stand-ins for the state
+// service, the cloud and the workers, and users who submit, ask and cancel, with the troubles that
+// a test orders. The rules of the protocol are checked as it goes; they know nothing of the
+// controllers' state, only what is on the machines and what users were told.
+#pragma once
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "front/controller.h"
+#include "rehearsal/simulation.h"
+#include "standins/cloud.h"
+#include "standins/state.h"
+#include "standins/worker.h"
+
+namespace shunt::rehearsal {
+
+struct Scale {
+  int controllers = 3, machines = 6;
+  double machine_cpus = 4;
+  double team_limit = 16;  // vcpus, of each of two teams
+  double report_s = 5, lease_s = 26.5, cancel_s = 46.5;
+  // What the controllers are told instead: for tests that show that the rules are checked.
+  double told_cancel_s = 0;
+  double report_copies = 0;  // the share of reports of which a copy comes again, 2 to 60 s later
+  double late_writes = 0;    // the share of transactions that get no answer and come 2 to 12 s late
+  double state_latency_s = 0.005;
+  bool relay = true;
+};
+
+class Set {
+ public:
+  Set(unsigned seed, const Scale& scale);
+  ~Set();
+
+  void pass(double seconds);
+  double now() const { return sim_.now(); }
+  Simulation& sim() { return sim_; }
+  const Scale& scale() const { return scale_; }
+  Scale& scale() { return scale_; }  // shares may change as it goes
+
+  // ---- users
+
+  struct Job {
+    wire::JobSpec spec;
+    double run_s = 10;
+    bool accepted = false, cancel_asked = false;
+    double told_cancelled = -1, told_done = -1;  // when a user was
+    double answered = -1;                        // when a question about it last was
+  };
+  // Submitted through this controller, or any (-1), and repeated for a minute. Its tasks end far
+  // apart: they run for once, twice or three times `run_s`, by number.
+  std::string submit(wire::JobSpec spec, double run_s, int node = -1);
+  // Repeated until it is answered.
+  void cancel(const std::string& job, int node = -1);
+  const std::map<std::string, Job>& jobs() const { return jobs_; }
+  // Every controller that is there is asked about every job: what is not answered, or as if it were
+  // forgotten, breaks a rule.
+  void ask_all();
+  std::size_t done_tasks() const { return results_.size(); }
+  std::uint64_t starts() const { return starts_; }
+  // Parts that had been reported done, persisted and reaped, and were begun once more.
+  std::uint64_t begun_again() const { return begun_again_; }
+  std::uint64_t leases_lost() const;
+
+  // ---- troubles; a node is named by its number, a machine too
+
+  void outage(double for_s);
+  void refuse(int node, double for_s);              // by the state service alone
+  enum Link { state = 1, peers = 2, workers = 4 };  // what a cut parts a node from
+  void cut(int node, int links, double for_s);
+  void slow_state(double latency_s, double for_s);
+  void kill(int node, double back_after_s);  // the process ends, and is started again
+  void freeze(int node, double for_s);
+  void freeze_after(int node, std::uint64_t turns, double for_s);  // between two of its turns
+  void deaf(int machine, double for_s);  // its reports arrive, answers and orders do not
+  void hang(int machine, double for_s);
+  void hold_orders(int machine, double for_s);  // direct ones come when it is over
+  void kill_machine(int machine);
+  int owner(int shard) const;            // the first node that does; -1: none
+  bool acts(int node, int shard) const;  // its desk for the shard is open
+  int busiest();                         // of the nodes that own a shard
+  int machines() const { return static_cast<int>(machines_.size()); }
+
+  // ---- rules
+
+  const std::vector<std::string>& broken() const { return broken_; }
+
+ private:
+  struct Node {
+    std::unique_ptr<Host> host;
+    config::Settings settings;
+    std::unique_ptr<front::Controller> controller;
+  };
+  struct Machine {
+    std::string name;
+    std::unique_ptr<Host> host;
+    std::unique_ptr<standins::Worker> worker;
+    double deaf_until = 0, held_until = 0;
+  };
+  struct Until {
+    int links = 0;
+    double at = 0;
+  };
+  void start(int node);
+  void power_on(const standins::Cloud::Machine& m);
+  Way way(const Request& r);
+  double hold_answer(const Request& r);
+  bool parted(const std::string& from, const std::string& to) const;
+  int node_of(const std::string& host) const;
+  Machine* machine_of(const std::string& host);
+  void ask(int node, const char* method, const std::string& path, const std::string& body,
+           double within_s, std::function<void(net::Result)> done);
+  int any_node();
+  void submit_again(const std::string& id, int node, double until);
+  void cancel_again(const std::string& id, int node);
+  void poll(const std::string& id);
+  void told(const std::string& id, const net::Result& r, double asked_at);
+  void moved(const standins::Worker& w, const standins::Worker::Task& t);
+  void check();
+  void broke(const std::string& what);
+
+  Scale scale_;
+  Simulation sim_;
+  config::Settings base_;
+  config::Tuning tuning_;
+  std::vector<Node> nodes_;
+  std::unique_ptr<Host> state_host_, cloud_host_, users_host_;
+  std::unique_ptr<standins::State> state_;
+  std::unique_ptr<standins::Cloud> cloud_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::map<std::string, std::size_t> machine_by_host_;
+  std::vector<Until> cuts_;
+  std::vector<double> refused_until_;
+  double slow_until_ = 0, slow_s_ = 0;
+  std::map<std::string, Job> jobs_;
+  std::set<std::string> results_;                        // tasks that have completed, somewhere
+  std::set<std::string> reaped_;                         // whose result has been let go after that
+  std::map<std::uint64_t, net::Network::Handle> asked_;  // questions that are out
+  std::vector<std::string> broken_;
+  std::uint64_t starts_ = 0, begun_again_ = 0, next_job_ = 0, questions_ = 0, addresses_ = 0,
+                lost_before_ = 0;
+};
+
+}  // namespace shunt::rehearsal
--- /dev/null
+++ b/src/rehearsal/simulation.h
@@ -0,0 +1,120 @@
+// Simulated time, hosts and the network between them, for the library's own actors: one process, no
+// sockets, no wall clock, and with the same seed the same history. A host is one life of one
+// process: its loop drives whatever is made on it, and ends with it. Not thread-safe.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "actor/loop.h"
+#include "net/http.h"
+
+namespace shunt::rehearsal {
+
+class Simulation;
+
+class Host final : public actor::Clockwork, public net::Network {
+ public:
+  // `rate`: seconds that its steady clock shows in one second (PROTOCOL: apart by 0.05% at most).
+  Host(Simulation& sim, std::string name, double rate = 1);
+  ~Host() override;
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  const std::string& name() const { return name_; }
+  actor::Loop& loop() { return loop_; }
+  // It stands still until this moment of the simulation; what comes meanwhile waits.
+  void freeze(double until);
+  // After so many more of its turns, between two of them, for so long.
+  void freeze_after(std::uint64_t turns, double for_s) {
+    life_->turns_left = turns;
+    life_->then_s = for_s;
+  }
+
+  double now() const override;
+  double wall_now() const override;
+  Clockwork::Handle schedule(double seconds, std::function<void()> fn) override;
+  net::Network::Handle listen(const config::Endpoint& at, Handler handler) override;
+  net::Network::Handle request(const config::Endpoint& to, std::string method, std::string path,
+                               std::string body, double timeout_s,
+                               std::function<void(net::Result)> done) override;
+
+ private:
+  friend class Simulation;
+  struct Life {
+    double frozen_until = 0, then_s = 0;
+    std::uint64_t turns_left = 0;  // before it stands still; 0: it will not
+  };
+  Simulation& sim_;
+  const std::string name_;
+  const double rate_;
+  std::shared_ptr<Life> life_ = std::make_shared<Life>();
+  actor::Loop loop_{*this};
+};
+
+struct Request {
+  std::string from, to;  // hosts' names
+  std::string method, path, body;
+};
+
+// What becomes of a request on its way.
+struct Way {
+  double there_s = 0.002, back_s = 0.002;
+  bool arrives = true;             // otherwise it is lost, and nobody answers
+  bool answered = true;            // otherwise the answer is lost
+  int refused = 0;                 // answered so on the way, and not carried out
+  std::vector<double> copies_s{};  // arrives again so much later; those copies' answers are lost
+};
+
+class Simulation {
+ public:
+  explicit Simulation(unsigned seed) : rng_(seed) {}
+  Simulation(const Simulation&) = delete;
+  Simulation& operator=(const Simulation&) = delete;
+
+  double now() const { return now_; }
+  std::mt19937& rng() { return rng_; }
+  double draw(double from, double to) { return std::uniform_real_distribution<>(from, to)(rng_); }
+  bool chance(double share) { return draw(0, 1) < share; }
+
+  void run_until(double at);
+  // Of the simulation itself, outside of every host.
+  void at(double when, std::function<void()> fn);
+
+  // Asked as each request leaves. None: nothing is ever lost.
+  std::function<Way(const Request&)> way;
+  // Asked as its answer leaves: seconds that it is held up, or below 0: it is lost.
+  std::function<double(const Request&)> hold_answer;
+
+ private:
+  friend class Host;
+  struct Event {
+    double at;
+    std::uint64_t order;
+    std::shared_ptr<std::function<void()>> own;  // kept by the event, or
+    std::weak_ptr<std::function<void()>> asked;  // by whoever holds the handle
+    std::weak_ptr<Host::Life> life;
+    bool on_host;
+    bool operator>(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  struct Listener {
+    Host* host;
+    std::weak_ptr<net::Network::Handler> handler;
+  };
+  void push(Event e) { queue_.push(std::move(e)); }
+  void deliver(const std::shared_ptr<Request>& r, const std::string& to,
+               const std::function<void(const net::Answer&)>& reply);
+
+  double now_ = 0;
+  std::uint64_t orders_ = 0;
+  std::mt19937 rng_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
+  std::map<std::string, Listener> listeners_;  // by address
+};
+
+}  // namespace shunt::rehearsal
--- a/src/standins/cloud.cpp
+++ b/src/standins/cloud.cpp
@@ -11,15 +11,15 @@
 using nlohmann::json;
 
 Cloud::Cloud(actor::Loop& loop, const config::Endpoint& at, std::vector<CloudType> types,
-             double rps, std::filesystem::path file, Power power)
+             double rps, std::filesystem::path file, Power power, unsigned seed)
     : Actor(loop),
       types_(std::move(types)),
       rps_(rps),
       tokens_(2 * rps),
-      refilled_(actor::Loop::now()),
+      refilled_(loop.now()),
       file_(std::move(file)),
       power_(std::move(power)),
-      rng_(std::random_device{}()),
+      rng_(seed),
       timer_(loop, [this] { boot(); }),
       http_(loop, at, 64 * 1024, [this](net::ExchangePtr ex) {
         if (!paced()) return ex->send({429, "{}", 0});
@@ -42,7 +42,7 @@
 }
 
 bool Cloud::paced() {
-  double now = actor::Loop::now();
+  double now = loop_.now();
   tokens_ = std::min(2 * rps_, tokens_ + (now - refilled_) * rps_);
   refilled_ = now;
   if (tokens_ < 1) return false;
@@ -72,9 +72,8 @@
     m.zone = r.zone;
     m.spot = r.spot;
     m.address = power_.address();
-    m.rented_at = actor::Loop::wall_now();
-    m.boots_at =
-        actor::Loop::now() + type->spec.boot_s * std::uniform_real_distribution<>(0.6, 1.5)(rng_);
+    m.rented_at = loop_.wall_now();
+    m.boots_at = loop_.now() + type->spec.boot_s * std::uniform_real_distribution<>(0.6, 1.5)(rng_);
     names.push_back(m.name);
     machines_[m.name] = std::move(m);
   }
@@ -112,13 +111,13 @@
     }
     const Machine& m = it->second;
     l.machines.push_back({m.name, m.address, m.type, m.zone, m.on ? "running" : "booting", m.spot,
-                          actor::Loop::wall_now() - m.rented_at});
+                          loop_.wall_now() - m.rented_at});
   }
   return {200, far::encode_machines(l), 0};
 }
 
 void Cloud::boot() {
-  double now = actor::Loop::now(), next = now + 1;
+  double now = loop_.now(), next = now + 1;
   for (auto& [name, m] : machines_) {
     if (m.on || m.going) continue;
     if (m.boots_at <= now) {
@@ -132,6 +131,7 @@
 }
 
 void Cloud::save() const {
+  if (file_.empty()) return;
   json j = {{"next", next_}, {"requests", requests_}, {"machines", json::array()}};
   for (const auto& [name, m] : machines_)
     j["machines"].push_back({{"name", name},
--- a/src/standins/cloud.h
+++ b/src/standins/cloud.h
@@ -33,8 +33,9 @@
     std::function<void(const Machine&)> on;  // it has booted
     std::function<void(std::vector<std::string>, std::function<void()>)> off;  // then all are gone
   };
+  // Without a file nothing is kept. `seed` draws the boot times.
   Cloud(actor::Loop& loop, const config::Endpoint& at, std::vector<CloudType> types, double rps,
-        std::filesystem::path file, Power power);
+        std::filesystem::path file, Power power, unsigned seed = std::random_device{}());
 
   const std::map<std::string, Machine>& machines() const { return machines_; }
   // From now on rentals are refused (or not any more), as when the cloud has nothing to give.
--- a/src/standins/state.cpp
+++ b/src/standins/state.cpp
@@ -39,6 +39,7 @@
       http_(
           loop, at, 64 * 1024,
           [this](net::ExchangePtr ex) {
+            if (out_) return ex->send({503, "{\"error\":\"trouble\"}", 0});
             if (ex->path == "/watch") return watch(ex);
             ex->send(answer(ex));
           },
@@ -146,14 +147,14 @@
 void State::watch(net::ExchangePtr ex) {
   try {
     Watcher w{net::query_value(ex->query, "starts"), count(ex->query, "after", 0),
-              actor::Loop::now() + static_cast<double>(std::min<std::uint64_t>(
-                                       count(ex->query, "block_ms", 0), 60000)) /
-                                       1000,
+              loop_.now() + static_cast<double>(
+                                std::min<std::uint64_t>(count(ex->query, "block_ms", 0), 60000)) /
+                                1000,
               ex};
     if (w.after < first_recent_) return ex->send({410, "{}", 0});
     bool any = false;
     std::string body = changes(w.prefix, w.after, any);
-    if (any || w.until <= actor::Loop::now()) return ex->send({200, body, 0});
+    if (any || w.until <= loop_.now()) return ex->send({200, body, 0});
     watchers_.push_back(std::move(w));
   } catch (const wire::Malformed& e) {
     ex->send({400, json{{"error", e.what()}}.dump(), 0});
@@ -165,7 +166,7 @@
     double life = static_cast<double>(far::decode_life_ms(ex.body)) / 1000;
     std::uint64_t id = next_lease_++;
     write(json{{"hold", id}, {"life_s", life}}.dump());
-    leases_[id] = {life, actor::Loop::now() + life, {}};
+    leases_[id] = {life, loop_.now() + life, {}};
     return {200, far::encode_lease(id), 0};
   }
   std::string rest = ex.path.substr(std::min<std::size_t>(ex.path.size(), 7));
@@ -176,7 +177,7 @@
   auto it = leases_.find(std::stoull(rest));
   if (it == leases_.end()) return {404, "{}", 0};
   if (renew && ex.post) {
-    it->second.until = actor::Loop::now() + it->second.life_s;
+    it->second.until = loop_.now() + it->second.life_s;
     return {200, far::encode_lease(it->first), 0};
   }
   if (!ex.del) return {405, "{}", 0};
@@ -194,8 +195,15 @@
   leases_.erase(id);
 }
 
+void State::outage(bool on) {
+  out_ = on;
+  if (on) return;
+  for (auto& [id, l] : leases_) l.until = loop_.now() + l.life_s;
+}
+
 void State::tick() {
-  double now = actor::Loop::now();
+  if (out_) return;
+  double now = loop_.now();
   std::vector<std::uint64_t> over;
   for (const auto& [id, l] : leases_)
     if (now > l.until) over.push_back(id);
@@ -252,7 +260,7 @@
   }
   in.close();
   // After an outage every lease has its full time again; the watch window begins anew.
-  for (auto& [id, l] : leases_) l.until = actor::Loop::now() + l.life_s;
+  for (auto& [id, l] : leases_) l.until = loop_.now() + l.life_s;
   recent_.clear();
   first_recent_ = revision_;
   fs::path aside = log_;
--- a/src/standins/state.h
+++ b/src/standins/state.h
@@ -19,6 +19,9 @@
   // Without a file nothing is kept.
   State(actor::Loop& loop, const config::Endpoint& at, std::filesystem::path log);
   ~State() override;
+  // An outage: everything is answered 503, open watches stay open, and once it is over every lease
+  // has its full time again.
+  void outage(bool on);
 
  private:
   struct Entry {
@@ -55,6 +58,7 @@
   std::deque<Watcher> watchers_;
   std::filesystem::path log_;
   int fd_ = -1;
+  bool out_ = false;
   actor::Timer timer_;
   net::Server http_;
 };
--- /dev/null
+++ b/src/standins/worker.h
@@ -0,0 +1,79 @@
+// A stand-in for a worker: PROTOCOL, "Workers -> controller nodes" and "Controller nodes ->
+// workers". Its tasks are clocks: an image that takes so long to come, and a run time.
+#pragma once
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "actor/loop.h"
+#include "far/far.h"
+#include "net/http.h"
+#include "wire/types.h"
+
+namespace shunt::standins {
+
+class Worker : public actor::Actor {
+ public:
+  struct Settings {
+    std::string name, type, zone;
+    bool spot = true;
+    config::Endpoint at;
+    double cpus = 4, report_s = 5, lease_s = 26.5;
+    std::vector<std::pair<std::string, config::Endpoint>> nodes;
+  };
+  // What a task is, as its user's upload says; none: no such job.
+  struct Work {
+    double cpus = 1, fetch_s = 1, run_s = 10;
+  };
+  using Describe = std::function<std::optional<Work>(const wire::TaskId&)>;
+  struct Task {
+    wire::TaskId id;
+    std::uint64_t attempt = 0;
+    wire::RunState state = wire::RunState::fetching;
+    wire::Why why = wire::Why::none;
+    Work work;
+    double next = 0;  // when its image is there, or it completes
+  };
+  struct Watched {
+    std::function<void(const Worker&, const Task&)> moved;  // after each change of a task's state
+    std::function<void(const Task&)> reaped;                // an exited one, by command
+  };
+  Worker(actor::Loop& loop, Settings s, Describe describe, unsigned seed, Watched watched);
+
+  const Settings& settings() const { return s_; }
+  const std::vector<Task>& tasks() const { return tasks_; }
+  std::uint64_t session() const { return session_; }
+  std::uint64_t leases_lost() const { return leases_lost_; }  // with tasks on it
+
+ private:
+  wire::Report state();
+  void report();
+  void answered(double sent, std::uint64_t session, const net::Result& r);
+  void go_to(std::size_t node, double after);
+  void direct(const net::ExchangePtr& ex);
+  void obey(std::uint64_t token, const std::vector<wire::Command>& commands);
+  void start(const wire::Command& c);
+  void changed();
+  void advance();
+  void arm();
+  void expire();
+
+  const Settings s_;
+  Describe describe_;
+  Watched watched_;
+  std::mt19937 rng_;
+  std::vector<Task> tasks_;
+  std::uint64_t session_ = 1, seq_ = 0, token_ = 0, leases_lost_ = 0;
+  double leased_from_;  // when the last answered report was sent
+  double sent_at_ = -1e9, token_told_ = -1e9;
+  std::size_t node_ = 0;
+  bool out_ = false, again_ = false;
+  std::vector<std::unique_ptr<net::Client>> nodes_;
+  actor::Timer report_timer_, task_timer_, lease_timer_;
+  net::Server http_;
+};
+
+}  // namespace shunt::standins
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -30,8 +30,8 @@
       limits_(s),
       request_pace_(s.state_limits.rps / s.shards(), s.state_next.rps / s.shards()),
       write_pace_(s.state_limits.write_rps / s.shards(), s.state_next.write_rps / s.shards()),
-      requests_(s.state_limits.rps / s.shards(), actor::Loop::now()),
-      writes_(s.state_limits.write_rps / s.shards(), actor::Loop::now()),
+      requests_(s.state_limits.rps / s.shards(), loop.now()),
+      writes_(s.state_limits.write_rps / s.shards(), loop.now()),
       timer_(loop, [this] { pump(); }) {}
 
 std::size_t Client::queued() const {
@@ -54,13 +54,13 @@
 // A 429 to a commit may be for either rate; as a rule there are far fewer changes to be had.
 void Client::heard(int status, bool wrote) {
   if (status != 429) return;
-  double now = actor::Loop::now();
+  double now = loop_.now();
   (wrote ? write_pace_ : request_pace_).refused(now);
   refill(now);
 }
 
 std::size_t Client::writes_now(Urgency u) {
-  refill(actor::Loop::now());
+  refill(loop_.now());
   for (int i = 0; i <= static_cast<int>(u); ++i)
     if (!queues_[static_cast<std::size_t>(i)].empty()) return 0;
   if (requests_.wait_for(std::min(1 + spare(requests_, u, 0.1), requests_.cap())) > 0) return 0;
@@ -77,13 +77,13 @@
     c.done({503, {}});  // never sent: as good as refused
     return;
   }
-  c.since = actor::Loop::now();
+  c.since = loop_.now();
   q.push_back(std::move(c));
   pump();
 }
 
 void Client::pump() {
-  double now = actor::Loop::now();
+  double now = loop_.now();
   refill(now);
   for (int u = 0; u < kUrgencies; ++u) {
     auto& q = queues_[u];
@@ -123,7 +123,7 @@
   c.body = wire::encode_txn(t);
   c.writes = static_cast<double>(t.ops.size());
   c.timeout_s = 2;
-  c.give_up_at = actor::Loop::now() + give_up_s;
+  c.give_up_at = loop_.now() + give_up_s;
   std::size_t longest = 0;
   for (const auto& op : t.ops)
     if (op.value) longest = std::max(longest, op.value->size());
@@ -153,7 +153,7 @@
 
 void Client::watch(std::uint64_t after, int block_ms, std::function<void(net::Result)> done) {
   // Watches keep a connection of their own: they block, and must not hold up a commit.
-  refill(actor::Loop::now());
+  refill(loop_.now());
   requests_.take(1);
   watch_http_.request("GET", wire::watch_path("st/", after, block_ms), "", block_ms / 1000.0 + 2.0,
                       [this, done = std::move(done)](net::Result r) {
@@ -175,7 +175,7 @@
   c.method = method;
   c.path = std::move(path);
   c.body = std::move(body);
-  c.give_up_at = actor::Loop::now() + 3;
+  c.give_up_at = loop_.now() + 3;
   c.done = [this, done = std::move(done)](net::Result r) {
     heard(r.status, false);
     done(std::move(r));
--- a/tests/agent_rig.h
+++ b/tests/agent_rig.h
@@ -145,9 +145,9 @@
 
   // Turns the loop until it is so. The limit is generous: nothing is said about time.
   bool until(const std::function<bool()>& over, double seconds = 60) {
-    double end = actor::Loop::now() + seconds;
+    double end = actor::steady_now() + seconds;
     while (!over()) {
-      if (actor::Loop::now() > end) return false;
+      if (actor::steady_now() > end) return false;
       event_base_loop(loop.base(), EVLOOP_NONBLOCK);
       ::usleep(1000);
     }
