A read of many pages began with its first one: S counts from there

Cause: after a reload the latest read was taken to have begun with its last page, while the cache holds the first one's keys as of its own moment. An owner that was refused right after a slow reload answered workers for longer than S after a cancellation that it did not know of: by up to the reload's length, of which the margin of 3 s covers two slow pages.

Change: Store::load carries the first page's moment through.

--- a/src/front/store.cpp
+++ b/src/front/store.cpp
@@ -35,10 +35,11 @@
 
 void Store::reload() {
   loading_ = true;
-  load("", 0, {});
+  load(loop_.now(), "", 0, {});
 }
-void Store::load(std::string after, std::uint64_t revision, std::vector<wire::Event> items) {
-  double began = loop_.now();
+// `began`: the first page. What is known of its keys is as old as that, and S counts from there.
+void Store::load(double began, std::string after, std::uint64_t revision,
+                 std::vector<wire::Event> items) {
   client_.get(
       wire::keys_path(state::kRoot, after), state::Urgency::safety,
       reply<net::Result>([this, began, revision, items = std::move(items)](net::Result r) mutable {
@@ -51,7 +52,7 @@
           for (auto& e : p.items) items.push_back(std::move(e));
           if (p.more && !p.items.empty()) {
             std::string last = items.back().key;
-            load(last, revision, std::move(items));
+            load(began, last, revision, std::move(items));
             return;
           }
         } catch (const wire::Malformed& e) {
--- a/src/front/store.h
+++ b/src/front/store.h
@@ -43,7 +43,8 @@
 
  private:
   void reload();
-  void load(std::string after, std::uint64_t revision, std::vector<wire::Event> items);
+  void load(double began, std::string after, std::uint64_t revision,
+            std::vector<wire::Event> items);
   void watch_loop();
   void watched(double began, const net::Result& r);
   void wait_for_read(std::function<void(bool)> then);
