A task does not wait for a service's end once a machine can be had

Cause: while the cloud has nothing to give, the chain ends at a full machine that may accept.

Change: once a second, tasks that wait where only a replica's end could give them room go to the end of a tier that has one (Waiting::move_on, exception X12). Nothing else moves.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -199,6 +199,10 @@
   if (now - turned_at_ >= kLookAgain)
     common_.stirred |= std::any_of(common_.jobs.begin(), common_.jobs.end(),
                                    [](const auto& j) { return !j.second->pending.empty(); });
+  if (now - moved_on_at_ >= kLookAgain) {
+    moved_on_at_ = now;
+    waiting_.move_on(now);
+  }
   const bool hear = now - last_heard_ < 2 * common_.settings.report_s;
   std::vector<int> withdrawn;
   for (auto& [n, m] : machines_.all()) {
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -129,7 +129,7 @@
   Reserve reserve_;
   std::unordered_map<std::string, int> classes_, images_;  // names to dense indices
   double last_heard_ = 0;
-  double turned_at_ = -1e9;
+  double turned_at_ = -1e9, moved_on_at_ = -1e9;
 };
 
 }  // namespace shunt::fleet
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -16,6 +16,7 @@
 constexpr double kLittleWork = 8;  // what cannot save is stopped only before it has done more
 constexpr std::size_t kWalksPerTurn = 400;
 constexpr std::size_t kPullsPerReport = 32;
+constexpr std::size_t kMovesPerLook = 32;
 constexpr double kNoteGap = 0.3;  // between two looks at the guarantees
 }  // namespace
 
@@ -322,6 +323,46 @@
   if (walks >= kWalksPerTurn) common_.stirred = true;
 }
 
+// Whatever else ends there, its room is not enough.
+bool Waiting::in_vain(const Machine& m, const Item& i) const {
+  Amount room = machines_.room(m, i.band);
+  for (const Placement& p : m.placed.list)
+    if (!p.released && !p.job->spec.service) room += p.job->need;
+  return !i.job->need.fits(room);
+}
+
+// A task is accepted by a full machine when the cloud has nothing to give. Where replicas have
+// filled it, no report would ever show room, and the task stood there for good though machines
+// could be had again (docs/design.md, X12).
+void Waiting::move_on(double now) {
+  std::vector<std::pair<Key, int>> found;
+  for (const auto& [n, m] : machines_.all()) {
+    if (m->state != Machine::up || m->type < 0) continue;
+    for (const Item& i : m->queue.items)
+      if (found.size() < kMovesPerLook && in_vain(*m, i)) found.emplace_back(i.key(), n);
+  }
+  std::sort(found.begin(), found.end());
+  for (const auto& [key, n] : found) {
+    Machine& from = *machines_.at(n);
+    auto it = std::find_if(from.queue.items.begin(), from.queue.items.end(),
+                           [&, k = key](const Item& i) { return i.key() == k; });
+    if (!quota_ok(*it->job, false)) continue;
+    for (const chain::Tier& t : ways(*it, false, now)) {
+      if (t.end.kind == chain::TierEnd::none) continue;
+      Item item = std::move(*it);
+      from.queue.items.erase(it);
+      listed(from, item, false);
+      item.trail.clear();  // what it passed through is not what it costs now
+      item.rented = t.end.kind == chain::TierEnd::rent;
+      const int zone = item.rented ? machines_.pick_zone(*item.job, t.id, now) : -1;
+      Machine& to = item.rented ? machines_.order(t.id, zone, now) : *machines_.at(t.end.machine);
+      join(to, std::move(item));
+      machines_.note_idle(from, now);
+      break;
+    }
+  }
+}
+
 // ---- machines with room
 
 void Waiting::serve(Machine& m, double now) {
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -20,6 +20,9 @@
   bool quiet() const;
   // Tasks with no place and not in the chain enter it.
   void admit(double now);
+  // Tasks that wait where only a replica's end could give them room go to a tier's end, if one of
+  // theirs has any: nobody knows when a service ends.
+  void move_on(double now);
   // A machine reports room, or has been given some: its list is served, and urgent tasks that wait
   // elsewhere come to it.
   void serve(Machine& m, double now);
@@ -32,6 +35,7 @@
   void forget(const jobs::JobPtr& j, std::uint32_t task);
 
  private:
+  bool in_vain(const Machine& m, const Item& i) const;
   // False: stalled. `full`: no machine has room for it, which is known; else `found_none` is set if
   // that is so.
   bool enter(Item item, double now, bool full = false, bool* found_none = nullptr);
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -200,6 +200,36 @@
   EXPECT_GT(asked, 40);
 }
 
+// A task was accepted by a machine full of replicas while the cloud had none, and stood there for
+// good.
+TEST(Desk, ATaskDoesNotWaitForAServicesEndOnceAMachineCanBeHad) {
+  OneDesk d;
+  d.machine("m-1");
+  auto service = make_job(1, 2, 2);
+  service.spec.service = true;
+  d.job(service);
+  std::vector<wire::TaskReport> running;
+  for (const auto& c : d.beat("m-1", 1))
+    running.push_back({c.task, c.attempt, wire::RunState::running, wire::Why::none});
+  ASSERT_EQ(running.size(), 2u);
+  d.beat("m-1", 2, running);
+  d.job(make_job(2, 1, 1));
+  double asked = -1;  // last
+  bool waited = false;
+  for (double now = 2; now < 60; now += 0.2) {
+    if (static_cast<int>(now * 5) % 15 == 0) d.beat("m-1", now, running);
+    d.desk->tick(now);
+    if (d.desk->stirred()) d.desk->turn(now);
+    waited |= d.desk->summary().find("\"waiting\":1") != std::string::npos;
+    for (const auto& w : d.desk->rent_wishes(now)) {
+      asked = now;
+      d.desk->refused(w, 0, true, now);
+    }
+  }
+  EXPECT_TRUE(waited);
+  EXPECT_GT(asked, 40);
+}
+
 // A direct start without an answer may be carried out later: not reaped before a higher token.
 TEST(Desk, ALooseAttemptIsReapedOnlyUnderAHigherToken) {
   OneDesk d;
