Meetings: services, jobs that await others, zones and spread among what runs

Cause: the drawn histories had arrays alone.

Change: a tenth are services, a quarter await another job, some are bound to a zone, to one zone, or spread; wrong_place and too_early are checked as tasks start.

--- a/src/rehearsal/set.h
+++ b/src/rehearsal/set.h
@@ -52,7 +52,8 @@
     double answered = -1;                        // when a question about it last was
   };
   // Submitted through this controller, or any (-1), and repeated for a minute. Its tasks end far
-  // apart: they run for once, twice or three times `run_s`, by number.
+  // apart: they run for once, twice or three times `run_s`, by number; a service's until they are
+  // stopped.
   std::string submit(wire::JobSpec spec, double run_s, int node = -1);
   // Repeated until it is answered.
   void cancel(const std::string& job, int node = -1);
@@ -120,6 +121,7 @@
   void cancel_again(const std::string& id, int node);
   void poll(const std::string& id);
   void told(const std::string& id, const net::Result& r, double asked_at);
+  bool cancelled_by_users(const std::string& id) const;  // itself, or what it awaits
   void moved(const standins::Worker& w, const standins::Worker::Task& t);
   void check();
   void broke(const std::string& what);
