A task of a late direct order is given up with its session

Cause: a direct start that is held up is taken for lost after 2 s and not counted as sent any more. Carried out after all and seen, it was given up only if it counted as sent: when the machine's lease ended, its task counted as running for good, its job never ended, and its team's limit was taken up for nothing.

Change: Placements::absent gives up what has been seen as it does what has been sent; an earlier owner's still waits for our token.

--- a/src/fleet/placements.cpp
+++ b/src/fleet/placements.cpp
@@ -262,7 +262,9 @@
     if (shown[i]) continue;
     Placement& p = m.placed.list[i];
     if (to_direct && !(p.inherited && !p.sent)) continue;
-    if (p.sent) {
+    // What has been seen was carried out, though its direct order was taken for lost and is not
+    // counted as sent any more. (An earlier owner's may be on its way a second time.)
+    if (p.sent || (p.seen && !p.inherited)) {
       bool later = r.session > p.sent_session;
       if (later || p.seen || p.reaping) {
         if (!p.released) ++common_.count.lost;
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -282,6 +282,38 @@
   EXPECT_GE(given_up, d.s.stale_s() + d.s.lease_s);
 }
 
+// A direct order was held up and taken for lost, then carried out, and then the machine's lease
+// ended: its task counted as running for good.
+TEST(Desk, ATaskOfALateDirectOrderIsGivenUpWithItsSession) {
+  OneDesk d;
+  d.machine("m-1");
+  d.beat("m-1", 1);
+  d.job(make_job(1, 1, 1));
+  d.desk->tick(2);
+  d.commit(2);
+  auto direct = d.desk->direct_orders(
+      true, [](const std::string&) { return false; }, 2);
+  ASSERT_EQ(direct.size(), 1u);
+  ASSERT_EQ(direct[0].commands.size(), 1u);
+  d.desk->direct_done(direct[0], 0);
+  const auto& start = direct[0].commands[0];
+  d.beat("m-1", 5, {{start.task, start.attempt, wire::RunState::running, wire::Why::none}});
+  wire::Report r;
+  r.machine = "m-1";
+  r.addr = "10.0.0.1:1";
+  r.type = "t4";
+  r.zone = "a";
+  r.session = 2;
+  r.seq = ++d.seq;
+  r.token = d.desk->token();
+  d.desk->report(r, 40);
+  d.commit(40);
+  auto again = d.desk->orders("m-1", true, 40);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].op, wire::Command::Op::start);
+  EXPECT_GT(again[0].attempt, start.attempt);
+}
+
 // A direct start without an answer may be carried out later: not reaped before a higher token.
 TEST(Desk, ALooseAttemptIsReapedOnlyUnderAHigherToken) {
   OneDesk d;
