Tests: a desk's report is made in one place, whatever its session

Cause: one test of a new session made its report by hand, as OneDesk::beat does.

Change: beat takes the session. The test's assertions are as they were; a comment says what its test looks at.

--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -52,13 +52,14 @@
     }
   }
   std::vector<wire::Command> beat(const std::string& name, double now,
-                                  std::vector<wire::TaskReport> tasks = {}) {
+                                  std::vector<wire::TaskReport> tasks = {},
+                                  std::uint64_t session = 1) {
     wire::Report r;
     r.machine = name;
     r.addr = "10.0.0.1:1";
     r.type = "t4";
     r.zone = "a";
-    r.session = 1;
+    r.session = session;
     r.seq = ++seq;
     r.token = desk->token();
     r.tasks = std::move(tasks);
@@ -264,7 +265,7 @@
 }
 
 // What an earlier owner's last answer, given S after the takeover at the latest, can have kept
-// alive is not begun anew before that lease is over, though its machine says nothing and is not
+// alive is not given up before that lease is over, though its machine says nothing and is not
 // deleted.
 TEST(Desk, SilenceProvesNothingBeforeTheEarlierOwnersLastLeaseIsOver) {
   OneDesk d;
@@ -298,17 +299,7 @@
   d.desk->direct_done(direct[0], 0);
   const auto& start = direct[0].commands[0];
   d.beat("m-1", 5, {{start.task, start.attempt, wire::RunState::running, wire::Why::none}});
-  wire::Report r;
-  r.machine = "m-1";
-  r.addr = "10.0.0.1:1";
-  r.type = "t4";
-  r.zone = "a";
-  r.session = 2;
-  r.seq = ++d.seq;
-  r.token = d.desk->token();
-  d.desk->report(r, 40);
-  d.commit(40);
-  auto again = d.desk->orders("m-1", true, 40);
+  auto again = d.beat("m-1", 40, {}, 2);
   ASSERT_EQ(again.size(), 1u);
   EXPECT_EQ(again[0].op, wire::Command::Op::start);
   EXPECT_GT(again[0].attempt, start.attempt);
