--- a/src/rehearsal/set.h
+++ b/src/rehearsal/set.h
@@ -18,6 +18,8 @@
 
 namespace shunt::rehearsal {
 
+inline std::string name_of(const wire::TaskId& t) { return t.job + "/" + std::to_string(t.index); }
+
 struct Scale {
   int controllers = 3, machines = 6;
   double machine_cpus = 4;
