No lease is renewed while a start of a cancelled job may still be carried out

Cause: a start sent directly without an answer is carried out as long as token and session hold. When its job was cancelled, the owner asked for a higher token, but went on renewing the machine's lease under the old one, without bound: until ten seconds after the last raise, until no transaction was out, and as long as the raise was refused.

Change: while such a start is not settled (Placements::unsettled) the machine's reports are answered 503; the token is raised at once, a second after the last raise at the earliest. What runs of a cancelled job is also told to end by a direct order, at once, on machines that report to nobody and on those that hang; an answer to a report that was overtaken carries the stops too, since it renews the lease; a stop goes out for what may be there, seen or not; an attempt that shows itself running after its end is stopped.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -56,6 +56,7 @@
   for (auto& [n, m] : machines_.all()) {
     waiting_.drop(*m, j);
     placements_.drop_planned(*m, j, now);
+    placements_.stop_directly(*m, j);
     machines_.note_idle(*m, now);
   }
   common_.stirred = true;
@@ -176,6 +177,14 @@
   m->answered_token = token();
   return placements_.orders(*m, fresh, now);
 }
+std::vector<wire::Command> Desk::stops(const std::string& name) const {
+  const Machine* m = machines_.find(name);
+  return m ? placements_.stops(*m) : std::vector<wire::Command>{};
+}
+bool Desk::unsettled(const std::string& name) const {
+  const Machine* m = machines_.find(name);
+  return m && placements_.unsettled(*m);
+}
 bool Desk::awaits_commit(const std::string& name) {
   const Machine* m = machines_.find(name);
   return m && Placements::awaits_commit(*m);
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -67,6 +67,10 @@
   std::vector<wire::Command> orders(const std::string& machine, bool fresh, double now);
   // True while an answer would be worth waiting for a commit.
   bool awaits_commit(const std::string& machine);
+  // What ends work that is not wanted: for a report that has been overtaken.
+  std::vector<wire::Command> stops(const std::string& machine) const;
+  // No answer may renew this machine's lease under the present token: Placements::unsettled.
+  bool unsettled(const std::string& machine) const;
 
   std::vector<Direct> direct_orders(bool fresh, const std::function<bool(const std::string&)>& skip,
                                     double now) {
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -12,15 +12,34 @@
 
 namespace {
 constexpr double kRaiseGap = 1;        // between two raises of the token
-constexpr double kLooseRaiseGap = 10;  // for the sake of something loose
+constexpr double kLooseRaiseGap = 10;  // for the sake of something loose that keeps no lease back
 // Time to save for what can.
 double stop_grace(const Job& j) { return j.spec.checkpoint_s > 0 ? j.spec.save_s + 1 : 0; }
+wire::TaskId id(const Placement& p) { return {p.job->spec.id, p.task}; }
+// Its job is over, and it may be there, or get there: also what no report has shown yet, since a
+// direct start that is on its way may come before the answer that this is for.
+bool to_end(const Placement& p) {
+  return p.job->gone && !p.released && (p.seen || p.sent || p.loose || p.inherited);
+}
 }  // namespace
 
+std::vector<Command> Placements::stops(const Machine& m) const {
+  std::vector<Command> out;
+  for (const Placement& p : m.placed.list)
+    if (to_end(p)) out.push_back({Command::Op::stop, id(p), p.attempt, 0});
+  for (const auto& t : m.placed.strangers)
+    if (t.state != RunState::exited) out.push_back({Command::Op::stop, t.task, t.attempt, 0});
+  return out;
+}
+
+bool Placements::unsettled(const Machine& m) const {
+  return std::any_of(m.placed.list.begin(), m.placed.list.end(),
+                     [this](const Placement& p) { return may_start_late(p); });
+}
+
 std::vector<Command> Placements::orders(Machine& m, bool fresh, double now) {
   std::vector<Command> out;
   bool let_go = false;
-  auto id = [](const Placement& p) { return wire::TaskId{p.job->spec.id, p.task}; };
   for (Placement& p : m.placed.list) {
     if (p.released) {
       // A result is reaped once it is persisted; what failed or stopped, at once.
@@ -32,7 +51,7 @@
       continue;
     }
     if (p.job->gone || p.job->done(p.task)) {
-      if (p.seen) out.push_back({Command::Op::stop, id(p), p.attempt, 0});
+      if (to_end(p) || p.seen) out.push_back({Command::Op::stop, id(p), p.attempt, 0});
       continue;
     }
     if (p.phase == Phase::committed && !p.seen && !p.inherited && !p.sent) {
@@ -113,15 +132,23 @@
       continue;
     }
     if (m->state != Machine::up || m->placed.direct_out || m->placed.token > token_ ||
-        now - m->last_report > 2 * common_.settings.report_s || skip(m->name))
+        m->addr.empty() || skip(m->name))
       continue;
+    const bool silent = now - m->last_report > 2 * common_.settings.report_s;
     Direct d{m->name, m->addr, m->placed.session, {}};
     for (Placement& p : m->placed.list) {
+      // A machine that reports to nobody may hear this, and one that hangs finds it when it goes
+      // on.
+      if (p.job->gone && p.seen && !p.released && !p.end_sent) {
+        p.end_sent = true;
+        d.commands.push_back({Command::Op::stop, id(p), p.attempt, 0});
+        continue;
+      }
+      if (silent) continue;
       // A late copy of a stop does no harm: it names the attempt.
       if (p.stopping && !p.stop_sent && p.seen && !p.released) {
         p.stop_sent = true;
-        d.commands.push_back(
-            {Command::Op::stop, {p.job->spec.id, p.task}, p.attempt, stop_grace(*p.job)});
+        d.commands.push_back({Command::Op::stop, id(p), p.attempt, stop_grace(*p.job)});
         continue;
       }
       if (m->leaving || p.phase != Phase::committed || p.released || p.seen || p.inherited ||
@@ -133,7 +160,7 @@
       p.sent_seq = m->placed.seq;
       ++common_.count.starts;
       ++common_.count.direct;
-      d.commands.push_back({Command::Op::start, {p.job->spec.id, p.task}, p.attempt, 0});
+      d.commands.push_back({Command::Op::start, id(p), p.attempt, 0});
     }
     if (d.commands.empty()) continue;
     m->placed.direct_out = true;
@@ -159,11 +186,16 @@
 }
 
 bool Placements::wants_raise(double now) const {
-  if (outranked_) return now - raised_at_ > kRaiseGap;
-  if (now - raised_at_ < kLooseRaiseGap) return false;
-  for (const auto& [n, m] : machines_.all())
+  if (now - raised_at_ <= kRaiseGap) return false;
+  if (outranked_) return true;
+  const bool long_ago = now - raised_at_ >= kLooseRaiseGap;
+  for (const auto& [n, m] : machines_.all()) {
+    // Its answer may still settle it.
+    if (m->placed.direct_out) continue;
     for (const Placement& p : m->placed.list)
-      if (!m->placed.direct_out && p.loose == token_ && (p.released || p.job->gone)) return true;
+      if (may_start_late(p) || (long_ago && p.loose == token_ && (p.released || p.job->gone)))
+        return true;
+  }
   return false;
 }
 
--- a/src/fleet/placed.h
+++ b/src/fleet/placed.h
@@ -25,6 +25,7 @@
   bool reaping = false;
   bool stopping = false;  // makes room for more urgent work
   bool stop_sent = false;
+  bool end_sent = false;  // its job is over, and a direct order has said so
   wire::RunState state = wire::RunState::fetching;
   wire::Why why = wire::Why::none;
   double started = 0;  // first seen running
--- a/src/fleet/placements.cpp
+++ b/src/fleet/placements.cpp
@@ -133,6 +133,11 @@
     if (planned(p)) release(m, p, now, false);
   std::erase_if(m.placed.list, planned);
 }
+void Placements::stop_directly(Machine& m, const JobPtr& j) {
+  if (std::any_of(m.placed.list.begin(), m.placed.list.end(),
+                  [&](const Placement& p) { return p.job == j && p.seen && !p.released; }))
+    note_due(m);
+}
 void Placements::undo(Machine& m, Placement& p, double now) {
   p.phase = Phase::planned;
   if (!p.job->gone) return;
@@ -235,6 +240,8 @@
     shown[i] = true;
     Placement& p = here.list[i];
     p.seen = true;
+    // Proven not to run, and it does: whatever started it again, it is stopped like a stranger's.
+    if (p.released && t.state != RunState::exited) here.strangers.push_back(t);
     if (p.state != RunState::exited || !p.released) {
       p.state = t.state;
       p.why = t.why;
--- a/src/fleet/placements.h
+++ b/src/fleet/placements.h
@@ -46,6 +46,8 @@
   void inherit(Machine& m, const Held& h, double now);
   // Its job is over: what was only planned never was.
   void drop_planned(Machine& m, const jobs::JobPtr& j, double now);
+  // Its job is over: what runs is told so at once, and not only when its machine reports.
+  void stop_directly(Machine& m, const jobs::JobPtr& j);
   // Its commit has failed: planned again, or, if its job is over by now, never was.
   void undo(Machine& m, Placement& p, double now);
   // The machine is proven gone.
@@ -70,6 +72,12 @@
   // started.
   std::vector<wire::Command> orders(Machine& m, bool fresh, double now);
   static bool awaits_commit(const Machine& m);
+  // For a report that has been overtaken: what ends work that is not wanted, and nothing else.
+  std::vector<wire::Command> stops(const Machine& m) const;
+  // A start of a cancelled job, sent directly, may still be carried out under the token that an
+  // answer would carry now: the lease is not renewed under it (docs/safety.md, "From a confirmed
+  // cancellation to the last task").
+  bool unsettled(const Machine& m) const;
 
   // Starts for machines that are not about to be answered. A direct order may be carried out as
   // late as its token and session hold, so an attempt sent that way is `loose` until an answer
@@ -96,6 +104,9 @@
   static bool settled(const Machine& m, const Placement& p) {
     return p.loose == 0 || m.placed.token > p.loose;
   }
+  bool may_start_late(const Placement& p) const {
+    return p.loose == token_ && p.job->gone && !p.seen && !p.released;
+  }
 
   Common& common_;
   Machines& machines_;
--- a/src/front/committing.cpp
+++ b/src/front/committing.cpp
@@ -53,8 +53,12 @@
   auto heard = desk_->report(r, now);
   if (heard == fleet::Desk::Heard::unknown) return ex->send({503, "{}", 0});
   if (heard == fleet::Desk::Heard::older)
-    // Overtaken by the answer to a direct order: it keeps the lease, and tells nothing new.
-    return ex->send({200, wire::encode_orders(desk_->token(), {}), 0});
+    // Overtaken by the answer to a direct order: it tells nothing new, and keeps the lease. So it
+    // is told what has to end: this may be the last answer that the worker hears.
+    return ex->send(
+        desk_->unsettled(r.machine)
+            ? net::Answer{503, "{}", 0}
+            : net::Answer{200, wire::encode_orders(desk_->token(), desk_->stops(r.machine)), 0});
   if (auto h = held_.find(r.machine); h != held_.end()) {
     h->second.ex->send({503, "{}", 0});
     held_.erase(h);
@@ -67,6 +71,9 @@
 }
 
 void Runner::answer(const std::string& machine, const net::ExchangePtr& ex) {
+  // A cancelled task that may still be started there must not find a lease that this answer has
+  // renewed: not before the token is raised, or the order answered.
+  if (desk_->unsettled(machine)) return ex->send({503, "{}", 0});
   auto commands = desk_->orders(machine, parts_.store->fresh(kStartFresh), loop_.now());
   ex->send({200, wire::encode_orders(desk_->token(), commands), 0});
 }
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -305,6 +305,118 @@
   EXPECT_GT(again[0].attempt, start.attempt);
 }
 
+// A direct start without an answer, of a job that is cancelled by now: no answer renews that
+// machine's lease under the token that the start would be carried out under.
+TEST(Desk, ALeaseIsNotRenewedWhileACancelledTaskMayStillBeStarted) {
+  OneDesk d;
+  d.machine("m-1");
+  d.beat("m-1", 1);
+  d.job(make_job(1, 1, 1));
+  d.desk->tick(2);
+  d.commit(2);
+  auto direct = d.desk->direct_orders(
+      true, [](const std::string&) { return false; }, 2);
+  ASSERT_EQ(direct.size(), 1u);
+  EXPECT_FALSE(d.desk->unsettled("m-1"));
+  d.desk->job_gone(make_job(1, 1, 1).spec.id, 3);
+  // Its answer may still settle it.
+  EXPECT_TRUE(d.desk->unsettled("m-1"));
+  EXPECT_FALSE(d.desk->wants_raise(3));
+  d.desk->direct_done(direct[0], 0);
+  d.beat("m-1", 4);
+  EXPECT_TRUE(d.desk->unsettled("m-1"));
+  EXPECT_TRUE(d.desk->wants_raise(4));
+  wire::Txn raise;
+  raise.ops.push_back(
+      {state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", "r"}), 0});
+  const std::uint64_t before = d.desk->token();
+  d.desk->raise(*d.store.commit(raise), 4.1);
+  d.read();
+  EXPECT_FALSE(d.desk->unsettled("m-1"));
+  EXPECT_GT(d.desk->token(), before);
+  EXPECT_FALSE(d.desk->wants_raise(20));
+  // The next one that needs it does not wait for ten seconds.
+  d.beat("m-1", 5);
+  d.job(make_job(2, 1, 1));
+  d.desk->tick(6);
+  d.commit(6);
+  direct = d.desk->direct_orders(
+      true, [](const std::string&) { return false; }, 6);
+  ASSERT_EQ(direct.size(), 1u);
+  d.desk->direct_done(direct[0], 0);
+  EXPECT_FALSE(d.desk->wants_raise(6.5));
+  d.desk->job_gone(make_job(2, 1, 1).spec.id, 6.5);
+  EXPECT_TRUE(d.desk->wants_raise(6.5));
+}
+TEST(Desk, AnAnswerSettlesACancelledStart) {
+  for (int status : {200, 409}) {
+    OneDesk d;
+    d.machine("m-1");
+    d.beat("m-1", 1);
+    d.job(make_job(1, 1, 1));
+    d.desk->tick(2);
+    d.commit(2);
+    auto direct = d.desk->direct_orders(
+        true, [](const std::string&) { return false; }, 2);
+    ASSERT_EQ(direct.size(), 1u);
+    d.desk->job_gone(make_job(1, 1, 1).spec.id, 3);
+    d.desk->direct_done(direct[0], status);
+    EXPECT_FALSE(d.desk->unsettled("m-1")) << status;
+    EXPECT_FALSE(d.desk->wants_raise(30)) << status;
+  }
+}
+
+// What runs of a cancelled job is told so at once, also on a machine whose reports do not come, and
+// by the answer to a report that has been overtaken.
+TEST(Desk, ACancelledJobsTasksAreStoppedWithoutWaitingForAReport) {
+  OneDesk d;
+  d.machine("m-1");
+  d.job(make_job(1, 2, 1));
+  d.job(make_job(2, 1, 1));
+  auto starts = d.beat("m-1", 1);
+  ASSERT_EQ(starts.size(), 3u);
+  std::vector<wire::TaskReport> running;
+  for (const auto& c : starts)
+    running.push_back({c.task, c.attempt, wire::RunState::running, wire::Why::none});
+  d.beat("m-1", 2, running);
+  d.desk->machine_addr("m-1", "10.0.0.1:1");
+  const auto none = [](const std::string&) { return false; };
+  EXPECT_TRUE(d.desk->direct_orders(true, none, 14).empty());
+  const std::string gone = make_job(1, 2, 1).spec.id;
+  d.desk->job_gone(gone, 14);
+  auto direct = d.desk->direct_orders(true, none, 14);
+  ASSERT_EQ(direct.size(), 1u);
+  auto all_of_it = [&](const std::vector<wire::Command>& commands) {
+    ASSERT_EQ(commands.size(), 2u);
+    for (const auto& c : commands) {
+      EXPECT_EQ(c.op, wire::Command::Op::stop);
+      EXPECT_EQ(c.task.job, gone);
+      EXPECT_EQ(c.grace_s, 0);
+    }
+  };
+  all_of_it(direct[0].commands);
+  all_of_it(d.desk->stops("m-1"));
+  d.desk->direct_done(direct[0], 0);
+  EXPECT_TRUE(d.desk->direct_orders(true, none, 15).empty());  // told once; answers tell it again
+  all_of_it(d.beat("m-1", 16, running));
+}
+
+// An end is an end: should a machine show the same attempt running after it, it is stopped.
+TEST(Desk, AnAttemptThatRunsAfterItsEndIsStopped) {
+  OneDesk d;
+  d.machine("m-1");
+  d.job(make_job(1, 1, 1));
+  auto starts = d.beat("m-1", 1);
+  ASSERT_EQ(starts.size(), 1u);
+  const auto& c = starts[0];
+  d.beat("m-1", 2, {{c.task, c.attempt, wire::RunState::exited, wire::Why::done}});
+  bool stopped = false;
+  for (const auto& o :
+       d.beat("m-1", 3, {{c.task, c.attempt, wire::RunState::running, wire::Why::none}}))
+    stopped |= o.op == wire::Command::Op::stop && o.attempt == c.attempt;
+  EXPECT_TRUE(stopped);
+}
+
 // A direct start without an answer may be carried out later: not reaped before a higher token.
 TEST(Desk, ALooseAttemptIsReapedOnlyUnderAHigherToken) {
   OneDesk d;
--- /dev/null
+++ b/tests/meetings_cancel_test.cpp
@@ -0,0 +1,67 @@
+// From a confirmed cancellation to the last task of its job: docs/safety.md has the sum.
+#include <gtest/gtest.h>
+
+#include "meetings.h"
+
+namespace shunt::test {
+namespace {
+
+// A start sent directly is held on its way while its job is cancelled and the worker goes on
+// reporting: it can be carried out as late as token and session hold. The token cannot be raised,
+// since no such commit is taken, and none of the worker's reports gets through once the start has
+// come.
+struct HeldStart {
+  Set set;
+  double held_from = -1, told = -1, mute_from = 1e18;
+  static Scale scale(double margin) {
+    Scale s;
+    s.controllers = 2;
+    s.machines = 3;
+    s.team_limit = 64;
+    s.cancel_s = s.lease_s + margin;
+    return s;
+  }
+  HeldStart(unsigned seed, double margin, double hold_s, bool raises) : set(seed, scale(margin)) {
+    set.pass(12);
+    // Something runs on every machine, so that they are there, and report now and then only.
+    for (int i = 0; i < 6; ++i) set.submit(spec(i % 2 ? "red" : "blue", 1), 200);
+    set.pass(20);
+    set.sim().way = [this, way = set.sim().way, raises](const rehearsal::Request& r) {
+      auto w = way(r);
+      if (r.path == "/agent/beat" && set.now() >= mute_from) w.arrives = false;
+      if (r.path == "/commit" && held_from >= 0 && !raises &&
+          r.body.find("{\"set\":\"st/o/") != std::string::npos)
+        w.refused = 503;
+      if (r.path == "/orders" && w.there_s > 1 && held_from < 0 &&
+          r.body.find("\"start\"") != std::string::npos)
+        held_from = set.now();
+      return w;
+    };
+    for (int m = 0; m < set.machines(); ++m) set.hold_orders(m, hold_s);
+    mute_from = set.now() + hold_s - 0.2;
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 4; ++i) jobs.push_back(set.submit(spec(i % 2 ? "red" : "blue", 1), 200));
+    for (int i = 0; i < 200 && held_from < 0; ++i) set.pass(0.02);
+    for (const auto& j : jobs) set.cancel(j);
+    set.pass(hold_s + 60);
+    for (const auto& j : jobs) told = std::max(told, set.jobs().at(j).told_cancelled);
+    set.sim().way = nullptr;
+  }
+};
+
+TEST(Cancelled, AStartHeldOnItsWayDoesNotOutliveTheCancellation) {
+  for (bool raises : {false, true})
+    for (double margin : {5.0, 8.0, 20.0})
+      for (double beyond : {2.0, 6.0, 30.0}) {
+        SCOPED_TRACE(std::to_string(margin) + ", " + std::to_string(beyond));
+        const double cancel_s = Scale{}.lease_s + margin;
+        HeldStart h(3, margin, cancel_s + beyond, raises);
+        ASSERT_GE(h.held_from, 0);
+        ASSERT_GE(h.told, h.held_from);
+        ASSERT_LT(h.told, h.held_from + 1);
+        EXPECT_EQ(h.set.broken(), std::vector<std::string>{});
+      }
+}
+
+}  // namespace
+}  // namespace shunt::test
