Room that is left over beside waiting work is given to whatever fits, after 45 s

Change: Waiting::fill_left_over, once a second: a machine that has had room for something that waits for 45 s gets whatever fits, in order of service, from any list and from what has not entered the chain.

--- a/src/fleet/queue.h
+++ b/src/fleet/queue.h
@@ -11,6 +11,7 @@
 struct Queue {
   std::array<std::uint16_t, wire::kPriorities + 1> listed{};  // by band
   std::vector<Item> items;                                    // in order of service
+  double left_over_since = -1;  // it has had room for something that waits; -1: it has not
 };
 
 }  // namespace shunt::fleet
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kPullsPerReport = 32;
 constexpr std::size_t kMovesPerLook = 32;
 constexpr double kNoteGap = 0.3;  // between two looks at the guarantees
+// A machine has had room for something that waits for so long, and nothing has come of it.
+constexpr double kLeftOver = 45;
+constexpr std::size_t kFillsPerLook = 4;  // machines: each looks at all that waits
 }  // namespace
 
 Waiting::Waiting(Common& common, Machines& machines, Placements& placements, std::uint64_t seed)
@@ -269,14 +272,9 @@
                                      [](const auto& j) { return j.second->pending.empty(); });
 }
 
-// New and returning tasks enter the chain: the more urgent job first, then the older one.
-void Waiting::admit(double now) {
-  // A job that has come, or some work done, moves who is within a guarantee; not every turn does.
-  if (common_.jobs.size() != noted_jobs_ || now - noted_at_ > kNoteGap) {
-    noted_jobs_ = common_.jobs.size();
-    noted_at_ = now;
-    note_guarantees();
-  }
+// Jobs with tasks that are yet to enter the chain, in the order in which they do: the more urgent
+// first, then the older one, or the one that should start first.
+std::vector<JobPtr> Waiting::pending(double now) const {
   std::vector<JobPtr> order;
   for (auto& [id, j] : common_.jobs)
     if (!j->pending.empty() && j->not_before <= now) order.push_back(j);
@@ -284,6 +282,28 @@
     if (a->band() != b->band()) return a->band() < b->band();
     return ranked(a->band()) ? a->latest_start() < b->latest_start() : a->since < b->since;
   });
+  return order;
+}
+// The first of its pending tasks, as it enters the chain.
+Item Waiting::first_pending(const JobPtr& j, double now) {
+  Item i;
+  i.job = j;
+  i.task = *j->pending.begin();
+  i.since = now;
+  i.band = j->band();
+  i.order = place_of(*j, i.band);
+  j->pending.erase(j->pending.begin());
+  return i;
+}
+
+// New and returning tasks enter the chain.
+void Waiting::admit(double now) {
+  // A job that has come, or some work done, moves who is within a guarantee; not every turn does.
+  if (common_.jobs.size() != noted_jobs_ || now - noted_at_ > kNoteGap) {
+    noted_jobs_ = common_.jobs.size();
+    noted_at_ = now;
+    note_guarantees();
+  }
   std::size_t walks = 0;
   // What found no place this turn: another job of the same shape finds none either.
   using Shape = std::tuple<std::int64_t, std::int64_t, std::int64_t, int, bool, int>;
@@ -291,7 +311,7 @@
   // What found no room: the next one need not look for it. Room only shrinks while tasks enter; a
   // list may get shorter, when something is placed.
   std::set<Shape> crowded;
-  for (const JobPtr& j : order) {
+  for (const JobPtr& j : pending(now)) {
     bool plain = !j->spec.types && !j->spec.zone && !j->spec.one_zone && !j->spec.spread;
     Shape shape{j->need.cpus, j->need.gpus, j->need.mem, j->cls, j->spec.spot, j->band()};
     if (plain && stalled.contains(shape)) continue;
@@ -299,14 +319,8 @@
       // A team at its limit gets no Accept and no rent.
       if (!quota_ok(*j, true)) break;
       ++walks;
-      std::uint32_t task = *j->pending.begin();
-      j->pending.erase(j->pending.begin());
-      Item i;
-      i.job = j;
-      i.task = task;
-      i.since = now;
-      i.band = j->band();
-      i.order = place_of(*j, i.band);
+      Item i = first_pending(j, now);
+      const std::uint32_t task = i.task;
       const Key key = i.key();
       bool none = false;
       const bool entered = enter(std::move(i), now, plain && crowded.contains(shape), &none);
@@ -363,6 +377,64 @@
   }
 }
 
+// Lists are served in order, so what is first on one and does not fit keeps the room beside it from
+// all that would. For a while that is how the first one comes to its room; for longer than a
+// machine takes to empty it is waste, and a small task waits beside room for as long as large ones
+// come (docs/design.md, X13). What has been left over is given to whatever fits, in order of
+// service.
+void Waiting::fill_left_over(double now) {
+  std::set<Need> wanted;
+  for (const auto& [id, j] : common_.jobs)
+    if ((j->listed || (!j->pending.empty() && j->not_before <= now)) && quota_ok(*j, false))
+      wanted.insert({j->need.cpus, j->need.gpus, j->need.mem});
+  if (wanted.empty()) return;
+  std::size_t fills = 0;
+  for (const auto& [n, m] : machines_.all()) {
+    auto fits = [&, at = m.get()](const Need& need) {
+      const auto& [cpus, gpus, mem] = need;
+      return Amount{cpus, gpus, mem}.fits(machines_.room(*at));
+    };
+    double& since = m->queue.left_over_since;
+    if (m->type < 0 || !m->open(now) || !m->rostered ||
+        std::none_of(wanted.begin(), wanted.end(), fits)) {
+      since = -1;
+    } else if (since < 0) {
+      since = now;
+    } else if (now - since >= kLeftOver && fills < kFillsPerLook) {
+      since = now;
+      ++fills;
+      fill(*m, now);
+    }
+  }
+}
+void Waiting::fill(Machine& m, double now) {
+  auto takes = [&](const Job& j, std::uint32_t task, int band) {
+    return j.need.fits(machines_.room(m, band)) && machines_.usable(m, j, now) &&
+           quota_ok(j, false) && !(j.spec.gang && j.in_round.contains(task));
+  };
+  auto put = [&](Item item) {
+    item.trail.clear();  // it has not come this way by the chain
+    item.rented = false;
+    machines_.reused(m, now);
+    placements_.place(m, std::move(item));
+  };
+  for (auto next = all_.begin(); next != all_.end() && any_fits(machines_.room(m));) {
+    const auto [key, number] = *next++;
+    Machine& from = *machines_.at(number);
+    auto it = std::find_if(from.queue.items.begin(), from.queue.items.end(),
+                           [&, k = key](const Item& i) { return i.key() == k; });
+    if (!takes(*it->job, it->task, key.first)) continue;
+    Item item = std::move(*it);
+    from.queue.items.erase(it);
+    listed(from, item, false);
+    put(std::move(item));
+    machines_.note_idle(from, now);
+  }
+  for (const JobPtr& j : pending(now))
+    while (!j->pending.empty() && takes(*j, *j->pending.begin(), j->band()))
+      put(first_pending(j, now));
+}
+
 // ---- machines with room
 
 void Waiting::serve(Machine& m, double now) {
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -23,6 +23,8 @@
   // Tasks that wait where only a replica's end could give them room go to a tier's end, if one of
   // theirs has any: nobody knows when a service ends.
   void move_on(double now);
+  // A machine that has had room beside what waits for a good while gets whatever fits.
+  void fill_left_over(double now);
   // A machine reports room, or has been given some: its list is served, and urgent tasks that wait
   // elsewhere come to it.
   void serve(Machine& m, double now);
@@ -36,6 +38,9 @@
 
  private:
   bool in_vain(const Machine& m, const Item& i) const;
+  std::vector<jobs::JobPtr> pending(double now) const;
+  Item first_pending(const jobs::JobPtr& j, double now);
+  void fill(Machine& m, double now);
   // False: stalled. `full`: no machine has room for it, which is known; else `found_none` is set if
   // that is so.
   bool enter(Item item, double now, bool full = false, bool* found_none = nullptr);
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -233,6 +233,42 @@
   EXPECT_GT(asked, 40);
 }
 
+// A list is served in order: a small task stood behind a large one, beside room that it fitted, for
+// as long as the large one waited. It does not wait there for 90 s, and does not slip past at once.
+TEST(Desk, ATaskBehindOneThatDoesNotFitTakesTheRoomThatIsLeftOver) {
+  OneDesk d;
+  d.machine("m-1");
+  d.job(make_job(1, 1, 3));
+  std::vector<wire::TaskReport> running;
+  for (const auto& c : d.beat("m-1", 1))
+    running.push_back({c.task, c.attempt, wire::RunState::running, wire::Why::none});
+  ASSERT_EQ(running.size(), 1u);
+  d.beat("m-1", 2, running);
+  auto large = make_job(2, 1, 2), small = make_job(3, 1, 1);
+  large.spec.priority = wire::Priority::high;
+  d.job(large);
+  double added = -1, started = -1;
+  for (double now = 3; now < 200 && started < 0; now += 1) {
+    d.desk->tick(now);
+    for (const auto& w : d.desk->rent_wishes(now)) d.desk->refused(w, 0, true, now);
+    for (const auto& c : d.beat("m-1", now, running))
+      if (c.op == wire::Command::Op::start) {
+        EXPECT_EQ(c.task.job, small.spec.id);
+        started = now;
+      }
+    // Once the large one stands on the list of this machine, and not of one that is ordered.
+    const std::string told = d.desk->summary();
+    if (added < 0 && told.find("\"waiting\":1") != std::string::npos &&
+        told.find("\"ordered\":0") != std::string::npos) {
+      d.job(small);
+      added = now;
+    }
+  }
+  ASSERT_GE(added, 0);
+  EXPECT_GT(started, added + 30);
+  EXPECT_LT(started, added + 80);
+}
+
 // Whatever a desk has written, a copy of it that comes later is not carried out once more.
 TEST(Desk, ACopyOfATransactionIsNeverCarriedOutAgain) {
   for (unsigned seed = 1; seed <= 20; ++seed) {
