Rehearsal: workers that save, hangs beyond the lease, mute machines, cut zones, rates

The stand-in worker knew no saving, looked at its lease only in some of its turns, and what had come while it hung came in one order alone; the state service had no rates, and no trouble was as long as lease_s or cancel_s.

Workers save when they are stopped with time, go on after a hang in any order and look at their lease first, and get spot notices. Troubles of docs' meetings by name, settings drawn from what is accepted, rates of the state service, clocks off by 100 ms; starts after a confirmation are measured, and a task that leaves its machine is checked in that moment too. A simulated timer takes a microsecond at least: with drawn rates a wait shorter than a rounding was set again for ever.

--- a/src/rehearsal/set.cpp
+++ b/src/rehearsal/set.cpp
@@ -29,7 +29,10 @@
   s.lease_s = scale.lease_s;
   s.cancel_s = scale.told_cancel_s > 0 ? scale.told_cancel_s : scale.cancel_s;
   s.state_limits = s.state_next = {3000, 1000, 16, 16};
-  s.cloud_rps = 60;
+  s.state_limits.rps = s.state_next.rps = scale.state_rps;
+  s.state_limits.write_rps = s.state_next.write_rps = scale.state_write_rps;
+  s.cloud_rps = scale.cloud_rps;
+  s.clock_off_ms = 1000 * scale.wall_off_s;
   s.list_lag_s = 1;
   s.state = {"state", 1};
   s.cloud = {"cloud", 1};
@@ -38,10 +41,11 @@
   cloud_host_ = std::make_unique<Host>(sim_, "cloud");
   users_host_ = std::make_unique<Host>(sim_, "users");
   state_ = std::make_unique<standins::State>(state_host_->loop(), s.state, "");
+  state_->limit(scale.state_rps, scale.state_write_rps);
   wire::MachineType type{"t4", scale.machine_cpus, 0, 64, 0.4, 0.1, kBoot, s.zones};
   cloud_ = std::make_unique<standins::Cloud>(
-      cloud_host_->loop(), s.cloud, std::vector<standins::CloudType>{{type, scale.machines}}, 60,
-      "",
+      cloud_host_->loop(), s.cloud, std::vector<standins::CloudType>{{type, scale.machines}},
+      scale.cloud_rps, "",
       standins::Cloud::Power{
           [this] { return "w-" + std::to_string(++addresses_) + ":9"; },
           [this](const standins::Cloud::Machine& m) { power_on(m); },
@@ -72,7 +76,7 @@
   if (n.controller) return;
   // Steady clocks drift apart by as much as the protocol allows.
   n.host = std::make_unique<Host>(sim_, base_.nodes[static_cast<std::size_t>(node)],
-                                  1 + (node % 3 - 1) * 0.00025);
+                                  1 + (node % 3 - 1) * 0.00025, (node % 3 - 1) * scale_.wall_off_s);
   n.settings = base_;
   n.settings.node = n.host->name();
   n.settings.self = node;
@@ -88,7 +92,9 @@
   auto machine = std::make_unique<Machine>();
   machine->name = m.name;
   const std::string host = m.address.substr(0, m.address.find(':'));
+  machine->zone = m.zone;
   machine->host = std::make_unique<Host>(sim_, host, 1 + sim_.draw(-0.00025, 0.00025));
+  machine->host->any_order_after_freezes();
   standins::Worker::Settings s;
   s.name = m.name;
   s.type = m.type;
@@ -109,14 +115,16 @@
         const double run = j->second.spec.service          ? 1e9
                            : results_.contains(name_of(t)) ? 0.01
                                                            : j->second.run_s * (1 + t.index % 3);
-        return standins::Worker::Work{j->second.spec.cpus, 1, run};
+        const wire::JobSpec& spec = j->second.spec;
+        return standins::Worker::Work{spec.cpus, spec.image_gb, run, spec.checkpoint_s,
+                                      spec.save_s};
       },
       static_cast<unsigned>(sim_.rng()()),
-      standins::Worker::Watched{
-          [this](const standins::Worker& w, const standins::Worker::Task& t) { moved(w, t); },
-          [this](const standins::Worker::Task& t) {
-            if (t.why == wire::Why::done) reaped_.insert(name_of(t.id));
-          }});
+      standins::Worker::Watched{[this](const standins::Worker& w, const standins::Worker::Task& t,
+                                       wire::RunState was) { moved(w, t, was); },
+                                [this](const standins::Worker::Task& t) {
+                                  if (t.why == wire::Why::done) reaped_.insert(name_of(t.id));
+                                }});
   machines_.push_back(std::move(machine));
 }
 
@@ -124,6 +132,8 @@
   for (const double until = sim_.now() + seconds; sim_.now() < until;) {
     sim_.run_until(std::min(until, sim_.now() + kLook));
     check();
+    cloud_->quick(scale_.quick_boots_s);
+    look_for_leaders();
   }
 }
 
@@ -140,12 +150,19 @@
   broken_.push_back("at " + std::to_string(sim_.now()) + ": " + what);
 }
 
-void Set::moved(const standins::Worker& w, const standins::Worker::Task& t) {
+void Set::moved(const standins::Worker& w, const standins::Worker::Task& t, RunState was) {
   const std::string name = name_of(t.id);
+  const double told = jobs_[t.id.job].told_cancelled;
   if (t.state == RunState::fetching) {
     ++starts_;
     begun_again_ += reaped_.contains(name);
+    if (told >= 0) after_cancel_.obeyed = std::max(after_cancel_.obeyed, sim_.now() - told);
   }
+  if (t.state == RunState::running && told >= 0)
+    after_cancel_.begun = std::max(after_cancel_.begun, sim_.now() - told);
+  saves_ += t.state == RunState::saving;
+  // As it leaves: between two looks at the machines, too.
+  if (was == RunState::running || was == RunState::saving) check_cancelled(t);
   if (t.state == RunState::exited && t.why == wire::Why::done) results_.insert(name);
   if (t.state != RunState::running) return;
   const wire::JobSpec& spec = jobs_[t.id.job].spec;
@@ -180,13 +197,22 @@
       if (t.state == RunState::exited || t.state == RunState::fetching) continue;
       const Job& j = jobs_[t.id.job];
       used[j.spec.team] += j.spec.cpus;
-      if (j.told_cancelled >= 0 && sim_.now() - j.told_cancelled > scale_.cancel_s)
-        broke("ran_cancelled: " + name_of(t.id) + ", " +
-              std::to_string(sim_.now() - j.told_cancelled) + " s after its user was told");
+      check_cancelled(t);
     }
   }
   for (const auto& [team, cpus] : used)
     if (cpus > scale_.team_limit + 1e-9) broke("quota: " + team);
 }
 
+// A task that is on a machine, or leaves it in this moment. One that waits for its image is not.
+void Set::check_cancelled(const standins::Worker::Task& t) {
+  const double told = jobs_[t.id.job].told_cancelled;
+  if (told < 0) return;
+  const double since = sim_.now() - told;
+  after_cancel_.on_machine = std::max(after_cancel_.on_machine, since);
+  if (since > scale_.cancel_s)
+    broke("ran_cancelled: " + name_of(t.id) + ", " + std::to_string(since) +
+          " s after its user was told");
+}
+
 }  // namespace shunt::rehearsal
--- a/src/rehearsal/set.h
+++ b/src/rehearsal/set.h
@@ -29,6 +29,12 @@
   double told_cancel_s = 0;
   double report_copies = 0;  // the share of reports of which a copy comes again, 2 to 60 s later
   double late_writes = 0;    // the share of transactions that get no answer and come 2 to 12 s late
+  double unanswered_writes = 0;  // the share that is carried out at once, and gets no answer
+  double copies_for_next = 0;    // the share of reports of which a copy is kept for the next leader
+  double slow_links_s = 0;       // all that is sent takes up to this long, one way; 0: it does not
+  double quick_boots_s = 0;      // new machines are up within this; 0: within some seconds
+  double state_rps = 3000, state_write_rps = 1000, cloud_rps = 60;
+  double wall_off_s = 0.1;  // times of day wander by up to this, to either side
   double state_latency_s = 0.005;
   bool relay = true;
 };
@@ -65,25 +71,42 @@
   void ask_all();
   std::size_t done_tasks() const { return results_.size(); }
   std::uint64_t starts() const { return starts_; }
+  std::uint64_t saves() const { return saves_; }  // tasks that were stopped and began to save
   // Parts that had been reported done, persisted and reaped, and were begun once more.
   std::uint64_t begun_again() const { return begun_again_; }
   std::uint64_t leases_lost() const;
+  // After a user was told that a job is cancelled: the latest start that a worker obeyed, the
+  // latest that came to run, and the longest that a task was on a machine; seconds, -1: none was.
+  struct AfterCancel {
+    double obeyed = -1, begun = -1, on_machine = -1;
+  };
+  const AfterCancel& after_cancel() const { return after_cancel_; }
 
   // ---- troubles; a node is named by its number, a machine too
 
   void outage(double for_s);
-  void refuse(int node, double for_s);              // by the state service alone
-  enum Link { state = 1, peers = 2, workers = 4 };  // what a cut parts a node from
+  void refuse(int node, double for_s);  // by the state service alone
+  // What a cut parts a node from; `reports`: what workers send to it, and not what it sends.
+  enum Link { state = 1, peers = 2, workers = 4, reports = 8 };
   void cut(int node, int links, double for_s);
+  // Everything in the zone goes on inside, and reaches nothing outside of it: users, the state
+  // service and the cloud are. Half of what is sent arrives, in order, when it is over.
+  void cut_zone(const std::string& zone, double for_s);
   void slow_state(double latency_s, double for_s);
   void cloud_outage(double for_s);           // nothing is rented or deleted
   void kill(int node, double back_after_s);  // the process ends, and is started again
   void freeze(int node, double for_s);
   void freeze_after(int node, std::uint64_t turns, double for_s);  // between two of its turns
   void deaf(int machine, double for_s);  // its reports arrive, answers and orders do not
+  void mute(int machine, double for_s);  // it reaches no controller; direct orders and answers pass
   void hang(int machine, double for_s);
+  // Again and again, each within its lease, with a moment or a few turns in between.
+  void hang_in_chains(int machine, int times);
   void hold_orders(int machine, double for_s);  // direct ones come when it is over
+  void hold_direct_answers(int machine, double for_s);
   void kill_machine(int machine);
+  void take_machine(int machine, double notice_s);  // a spot one, by its cloud; 0: without notice
+  std::vector<int> machines_with(const std::string& job) const;  // on which tasks of it are
   int owner(int shard) const;            // the first node that does; -1: none
   bool acts(int node, int shard) const;  // its desk for the shard is open
   int busiest();                         // of the nodes that own a shard
@@ -103,17 +126,25 @@
     std::string name;
     std::unique_ptr<Host> host;
     std::unique_ptr<standins::Worker> worker;
-    double deaf_until = 0, held_until = 0;
+    double deaf_until = 0, mute_until = 0, held_until = 0, answers_held_until = 0, hung_until = 0;
+    std::string zone;
   };
   struct Until {
     int links = 0;
     double at = 0;
   };
+  struct ZoneCut {
+    std::string zone;
+    double until = 0;
+  };
   void start(int node);
   void power_on(const standins::Cloud::Machine& m);
   Way way(const Request& r);
   double hold_answer(const Request& r);
   bool parted(const std::string& from, const std::string& to) const;
+  std::string zone_of(const std::string& host);  // empty: in none
+  double zone_cut_until(const Request& r);       // 0: no cut is on its way
+  void look_for_leaders();
   int node_of(const std::string& host) const;
   Machine* machine_of(const std::string& host);
   void ask(int node, const char* method, const std::string& path, const std::string& body,
@@ -124,8 +155,9 @@
   void poll(const std::string& id);
   void told(const std::string& id, const net::Result& r, double asked_at);
   bool cancelled_by_users(const std::string& id) const;  // itself, or what it awaits
-  void moved(const standins::Worker& w, const standins::Worker::Task& t);
+  void moved(const standins::Worker& w, const standins::Worker::Task& t, wire::RunState was);
   void check();
+  void check_cancelled(const standins::Worker::Task& t);
   void broke(const std::string& what);
 
   Scale scale_;
@@ -139,6 +171,10 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::map<std::string, std::size_t> machine_by_host_;
   std::vector<Until> cuts_;
+  ZoneCut zone_cut_;
+  std::vector<Request> kept_for_next_;
+  std::vector<int> leaders_;  // of each shard, as last seen
+  AfterCancel after_cancel_;
   std::vector<double> refused_until_;
   double slow_until_ = 0, slow_s_ = 0, cloud_until_ = 0;
   std::map<std::string, Job> jobs_;
@@ -146,8 +182,8 @@
   std::set<std::string> reaped_;                         // whose result has been let go after that
   std::map<std::uint64_t, net::Network::Handle> asked_;  // questions that are out
   std::vector<std::string> broken_;
-  std::uint64_t starts_ = 0, begun_again_ = 0, next_job_ = 0, questions_ = 0, addresses_ = 0,
-                lost_before_ = 0;
+  std::uint64_t starts_ = 0, saves_ = 0, begun_again_ = 0, next_job_ = 0, questions_ = 0,
+                addresses_ = 0, lost_before_ = 0;
 };
 
 }  // namespace shunt::rehearsal
--- a/src/rehearsal/set_network.cpp
+++ b/src/rehearsal/set_network.cpp
@@ -1,5 +1,6 @@
 // What becomes of requests between the hosts of a set, and the troubles that a test orders.
 #include <algorithm>
+#include <utility>
 
 #include "rehearsal/set.h"
 
@@ -23,51 +24,100 @@
     const std::string& other = from == self ? to : from;
     const int link = other == "state"         ? Link::state
                      : node_of(other) >= 0    ? Link::peers
-                     : other.starts_with("w") ? Link::workers
+                     : other.starts_with("w") ? Link::workers | (other == from ? Link::reports : 0)
                                               : 0;
     if (cuts_[n].links & link) return true;
   }
   return false;
 }
 
+std::string Set::zone_of(const std::string& host) {
+  const int n = node_of(host);
+  if (n >= 0) return base_.zones[static_cast<std::size_t>(n) % base_.zones.size()];
+  const Machine* m = machine_of(host);
+  return m ? m->zone : "";
+}
+double Set::zone_cut_until(const Request& r) {
+  if (zone_cut_.until <= sim_.now()) return 0;
+  const bool from_inside = zone_of(r.from) == zone_cut_.zone;
+  return from_inside == (zone_of(r.to) == zone_cut_.zone) ? 0 : zone_cut_.until;
+}
+
 Way Set::way(const Request& r) {
   Way w;
   if (parted(r.from, r.to)) {
     w.arrives = false;
     return w;
   }
+  if (const double until = zone_cut_until(r)) {
+    if (sim_.chance(0.5))
+      w.there_s = until - sim_.now();
+    else
+      w.arrives = false;
+    return w;
+  }
   const int node = node_of(r.from);
+  if (scale_.slow_links_s > 0) {
+    w.there_s = sim_.draw(0, scale_.slow_links_s);
+    w.back_s = sim_.draw(0, scale_.slow_links_s);
+  }
   if (r.to == "state") {
-    w.there_s = w.back_s = scale_.state_latency_s / 2 * sim_.draw(0.5, 1.5);
+    if (scale_.slow_links_s <= 0)
+      w.there_s = w.back_s = scale_.state_latency_s / 2 * sim_.draw(0.5, 1.5);
     if (sim_.now() < slow_until_) w.there_s = w.back_s = slow_s_ / 2 * sim_.draw(0.5, 1.5);
     if (node >= 0 && refused_until_[static_cast<std::size_t>(node)] > sim_.now()) {
       w.refused = 503;
     } else if (r.path == "/commit" && sim_.chance(scale_.late_writes)) {
       w.arrives = false;
       w.copies_s = {sim_.draw(2, 12)};
+    } else if (r.path == "/commit" && sim_.chance(scale_.unanswered_writes)) {
+      w.answered = false;
     }
     return w;
   }
   if (r.to == "cloud" && sim_.now() < cloud_until_) w.refused = 503;
   if (r.path == "/agent/beat" && sim_.chance(scale_.report_copies))
     w.copies_s = {sim_.draw(2, 2.2 * scale_.lease_s)};
+  if (r.path == "/agent/beat" && sim_.chance(scale_.copies_for_next)) kept_for_next_.push_back(r);
   if (Machine* m = machine_of(r.to)) {
     if (m->deaf_until > sim_.now()) w.arrives = false;
     if (m->held_until > sim_.now()) w.there_s = m->held_until - sim_.now();
   }
+  if (Machine* m = machine_of(r.from); m && m->mute_until > sim_.now()) w.arrives = false;
   return w;
 }
 
 double Set::hold_answer(const Request& r) {
   if (parted(r.from, r.to)) return -1;
+  if (const double until = zone_cut_until(r)) return sim_.chance(0.5) ? until - sim_.now() : -1;
   const int node = node_of(r.from);
   // What was open when the refusal began waits, as it would in an outage.
   if (r.to == "state" && node >= 0)
     return std::max(0.0, refused_until_[static_cast<std::size_t>(node)] - sim_.now());
   if (Machine* m = machine_of(r.from); m && m->deaf_until > sim_.now()) return -1;
+  if (Machine* m = machine_of(r.to)) return std::max(0.0, m->answers_held_until - sim_.now());
   return 0;
 }
 
+// The copies that were kept reach every controller as another one begins to lead.
+void Set::look_for_leaders() {
+  leaders_.resize(static_cast<std::size_t>(scale_.controllers), -1);
+  bool changed = false;
+  for (int shard = 0; shard < scale_.controllers; ++shard) {
+    int& last = leaders_[static_cast<std::size_t>(shard)];
+    const int now = owner(shard);
+    if (now < 0 || now == last) continue;
+    changed |= last >= 0;
+    last = now;
+  }
+  if (!changed) return;
+  for (const Request& r : std::exchange(kept_for_next_, {}))
+    for (const auto& n : base_.nodes)
+      sim_.at(sim_.now() + (sim_.chance(0.5) ? 0 : sim_.draw(0, 4)), [this, r, n] {
+        sim_.send_copy(r, {n, 80});
+      });
+}
+
 // ---- troubles
 
 void Set::outage(double for_s) {
@@ -80,6 +130,9 @@
 void Set::cut(int node, int links, double for_s) {
   cuts_[static_cast<std::size_t>(node)] = {links, sim_.now() + for_s};
 }
+void Set::cut_zone(const std::string& zone, double for_s) {
+  zone_cut_ = {zone, sim_.now() + for_s};
+}
 void Set::slow_state(double latency_s, double for_s) {
   slow_s_ = latency_s;
   slow_until_ = sim_.now() + for_s;
@@ -100,12 +153,63 @@
 void Set::deaf(int machine, double for_s) {
   machines_[static_cast<std::size_t>(machine)]->deaf_until = sim_.now() + for_s;
 }
+void Set::mute(int machine, double for_s) {
+  machines_[static_cast<std::size_t>(machine)]->mute_until = sim_.now() + for_s;
+}
 void Set::hang(int machine, double for_s) {
-  if (auto& h = machines_[static_cast<std::size_t>(machine)]->host) h->freeze(sim_.now() + for_s);
+  Machine& m = *machines_[static_cast<std::size_t>(machine)];
+  if (!m.worker) return;
+  const double until = std::max(m.hung_until, sim_.now() + for_s);
+  // Some programs go by the clock, and some by what they have been given to run.
+  if (sim_.chance(0.5)) m.worker->stood_still(until - std::max(m.hung_until, sim_.now()));
+  m.hung_until = until;
+  m.host->freeze(until);
+}
+void Set::hang_in_chains(int machine, int times) {
+  Machine& m = *machines_[static_cast<std::size_t>(machine)];
+  if (!m.worker) return;
+  auto within = [this] { return sim_.draw(1, 0.95 * scale_.lease_s); };
+  double at = sim_.now();
+  const bool by_turns = sim_.chance(0.5);
+  hang(machine, at - sim_.now() + within());
+  for (int i = 1; i < times; ++i) {
+    if (by_turns) {
+      m.host->freeze_after(1 + sim_.rng()() % 8, within());
+      continue;
+    }
+    at = std::max(at, m.hung_until) + sim_.draw(0.05, 1);
+    const double for_s = within();
+    sim_.at(at, [this, machine, for_s] { hang(machine, for_s); });
+    at += for_s;
+  }
 }
 void Set::hold_orders(int machine, double for_s) {
   machines_[static_cast<std::size_t>(machine)]->held_until = sim_.now() + for_s;
 }
+void Set::hold_direct_answers(int machine, double for_s) {
+  machines_[static_cast<std::size_t>(machine)]->answers_held_until = sim_.now() + for_s;
+}
+void Set::take_machine(int machine, double notice_s) {
+  Machine& m = *machines_[static_cast<std::size_t>(machine)];
+  if (!m.worker || !m.worker->settings().spot) return;
+  if (notice_s > 0) m.worker->notice(notice_s);
+  // The notice can be half of what it says, or one and a half times.
+  sim_.at(sim_.now() + notice_s * sim_.draw(0.5, 1.5), [this, machine] {
+    kill_machine(machine);
+    cloud_->taken(machines_[static_cast<std::size_t>(machine)]->name);
+  });
+}
+std::vector<int> Set::machines_with(const std::string& job) const {
+  std::vector<int> out;
+  for (int n = 0; n < machines(); ++n) {
+    const auto& w = machines_[static_cast<std::size_t>(n)]->worker;
+    if (w && std::any_of(w->tasks().begin(), w->tasks().end(), [&](const auto& t) {
+          return t.id.job == job && t.state != wire::RunState::exited;
+        }))
+      out.push_back(n);
+  }
+  return out;
+}
 void Set::kill_machine(int machine) {
   Machine& m = *machines_[static_cast<std::size_t>(machine)];
   if (!m.worker) return;
--- a/src/rehearsal/simulation.cpp
+++ b/src/rehearsal/simulation.cpp
@@ -6,6 +6,8 @@
 namespace shunt::rehearsal {
 namespace {
 constexpr double kMidnight = 1.7e9;  // the time of day at the simulation's start
+constexpr double kTimerStep = 1e-6;
+constexpr double kWander = 70;  // seconds in which a time of day wanders by a radian
 std::string text(const config::Endpoint& at) { return at.host + ":" + std::to_string(at.port); }
 }  // namespace
 
@@ -23,10 +25,14 @@
     if (e.on_host) {
       auto life = e.life.lock();
       if (!life) continue;
-      if (life->turns_left && --life->turns_left == 0) life->frozen_until = now_ + life->then_s;
+      if (life->frozen_until <= now_ && !life->next.empty() &&
+          --life->next.front().turns_left == 0) {
+        life->frozen_since = now_;
+        life->frozen_until = now_ + life->next.front().for_s;
+        life->next.pop_front();
+      }
       if (life->frozen_until > now_) {
-        e.at = life->frozen_until;
-        push(std::move(e));
+        hold(std::move(e), *life);
         continue;
       }
     }
@@ -36,19 +42,39 @@
   now_ = std::max(now_, at);
 }
 
-Host::Host(Simulation& sim, std::string name, double rate)
-    : sim_(sim), name_(std::move(name)), rate_(rate) {}
+void Simulation::hold(Event e, const Host::Life& life) {
+  // What waits in the host's own mailboxes keeps its order. The rest draws one, among what its
+  // first turns post too.
+  if (life.any_order && e.at > life.frozen_since) e.order = rng_() % (2 * orders_ + 2);
+  e.at = life.frozen_until;
+  push(std::move(e));
+}
+
+void Simulation::send_copy(Request r, const config::Endpoint& to) {
+  deliver(std::make_shared<Request>(std::move(r)), text(to), [](const net::Answer&) {});
+}
+
+Host::Host(Simulation& sim, std::string name, double rate, double wall_off_s)
+    : sim_(sim), name_(std::move(name)), rate_(rate), wall_off_s_(wall_off_s) {}
 Host::~Host() {
   std::erase_if(sim_.listeners_, [&](const auto& l) { return l.second.host == this; });
 }
 
-void Host::freeze(double until) { life_->frozen_until = std::max(life_->frozen_until, until); }
+void Host::freeze(double until) {
+  if (life_->frozen_until <= sim_.now()) life_->frozen_since = sim_.now();
+  life_->frozen_until = std::max(life_->frozen_until, until);
+}
 double Host::now() const { return 1000 + sim_.now() * rate_; }
-double Host::wall_now() const { return kMidnight + sim_.now(); }
+double Host::wall_now() const {
+  return kMidnight + sim_.now() + wall_off_s_ * std::cos(sim_.now() / kWander);
+}
 
 actor::Clockwork::Handle Host::schedule(double seconds, std::function<void()> fn) {
   auto kept = std::make_shared<std::function<void()>>(std::move(fn));
-  sim_.push({sim_.now() + std::max(0.0, seconds) / rate_, ++sim_.orders_, {}, kept, life_, true});
+  // As fine as a real timer is: what is due by less than a rounding must not come at this very
+  // moment, find nothing due, and be set again for ever.
+  const double wait = seconds > 0 ? std::max(seconds, kTimerStep) : 0;
+  sim_.push({sim_.now() + wait / rate_, ++sim_.orders_, {}, kept, life_, true});
   return kept;
 }
 
--- a/src/rehearsal/simulation.h
+++ b/src/rehearsal/simulation.h
@@ -3,6 +3,7 @@
 // process: its loop drives whatever is made on it, and ends with it. Not thread-safe.
 #pragma once
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,7 +22,8 @@
 class Host final : public actor::Clockwork, public net::Network {
  public:
   // `rate`: seconds that its steady clock shows in one second (PROTOCOL: apart by 0.05% at most).
-  Host(Simulation& sim, std::string name, double rate = 1);
+  // `wall_off_s`: the time of day wanders by so much to either side.
+  Host(Simulation& sim, std::string name, double rate = 1, double wall_off_s = 0);
   ~Host() override;
   Host(const Host&) = delete;
   Host& operator=(const Host&) = delete;
@@ -30,11 +32,11 @@
   actor::Loop& loop() { return loop_; }
   // It stands still until this moment of the simulation; what comes meanwhile waits.
   void freeze(double until);
-  // After so many more of its turns, between two of them, for so long.
-  void freeze_after(std::uint64_t turns, double for_s) {
-    life_->turns_left = turns;
-    life_->then_s = for_s;
-  }
+  // After so many more of its turns, between two of them, for so long; further ones count from
+  // when it goes on. What it is held up by otherwise is no turn.
+  void freeze_after(std::uint64_t turns, double for_s) { life_->next.push_back({turns, for_s}); }
+  // As it goes on, what has come meanwhile and what fell due come in any order.
+  void any_order_after_freezes() { life_->any_order = true; }
 
   double now() const override;
   double wall_now() const override;
@@ -46,13 +48,18 @@
 
  private:
   friend class Simulation;
+  struct Freeze {
+    std::uint64_t turns_left;
+    double for_s;
+  };
   struct Life {
-    double frozen_until = 0, then_s = 0;
-    std::uint64_t turns_left = 0;  // before it stands still; 0: it will not
+    double frozen_since = 0, frozen_until = 0;
+    std::deque<Freeze> next;
+    bool any_order = false;
   };
   Simulation& sim_;
   const std::string name_;
-  const double rate_;
+  const double rate_, wall_off_s_;
   std::shared_ptr<Life> life_ = std::make_shared<Life>();
   actor::Loop loop_{*this};
 };
@@ -85,6 +92,8 @@
   void run_until(double at);
   // Of the simulation itself, outside of every host.
   void at(double when, std::function<void()> fn);
+  // A request that nobody waits for: a copy from somewhere on the way.
+  void send_copy(Request r, const config::Endpoint& to);
 
   // Asked as each request leaves. None: nothing is ever lost.
   std::function<Way(const Request&)> way;
@@ -107,6 +116,7 @@
     std::weak_ptr<net::Network::Handler> handler;
   };
   void push(Event e) { queue_.push(std::move(e)); }
+  void hold(Event e, const Host::Life& life);
   void deliver(const std::shared_ptr<Request>& r, const std::string& to,
                const std::function<void(const net::Answer&)>& reply);
 
--- a/src/standins/cloud.cpp
+++ b/src/standins/cloud.cpp
@@ -73,7 +73,10 @@
     m.spot = r.spot;
     m.address = power_.address();
     m.rented_at = loop_.wall_now();
-    m.boots_at = loop_.now() + type->spec.boot_s * std::uniform_real_distribution<>(0.6, 1.5)(rng_);
+    m.boots_at =
+        loop_.now() +
+        (quick_s_ > 0 ? std::uniform_real_distribution<>(std::min(0.1, quick_s_), quick_s_)(rng_)
+                      : type->spec.boot_s * std::uniform_real_distribution<>(0.6, 1.5)(rng_));
     names.push_back(m.name);
     machines_[m.name] = std::move(m);
   }
--- a/src/standins/cloud.h
+++ b/src/standins/cloud.h
@@ -40,6 +40,11 @@
   const std::map<std::string, Machine>& machines() const { return machines_; }
   // From now on rentals are refused (or not any more), as when the cloud has nothing to give.
   void refuse(bool on) { refusing_ = on; }
+  // A spot machine has been taken back: it is not listed any more.
+  void taken(const std::string& name) { machines_.erase(name); }
+  // Machines rented from now on are up within so many seconds instead of what their type says; 0:
+  // as it says.
+  void quick(double within_s) { quick_s_ = within_s; }
 
  private:
   net::Answer rent(const std::string& body);
@@ -58,6 +63,7 @@
   std::map<std::string, std::vector<std::string>> requests_;
   std::uint64_t next_ = 1;
   bool refusing_ = false;
+  double quick_s_ = 0;
   std::mt19937 rng_;
   actor::Timer timer_;
   net::Server http_;
--- a/src/standins/state.cpp
+++ b/src/standins/state.cpp
@@ -40,6 +40,7 @@
           loop, at, 64 * 1024,
           [this](net::ExchangePtr ex) {
             if (out_) return ex->send({503, "{\"error\":\"trouble\"}", 0});
+            if (!requests_.take(1, loop_.now())) return ex->send({429, "{}", 0});
             if (ex->path == "/watch") return watch(ex);
             ex->send(answer(ex));
           },
@@ -51,6 +52,19 @@
   if (fd_ >= 0) ::close(fd_);
 }
 
+void State::limit(double rps, double write_rps) {
+  requests_ = {rps, rps, loop_.now()};
+  writes_ = {write_rps, write_rps, loop_.now()};
+}
+bool State::Pace::take(double n, double now) {
+  if (per_s <= 0) return true;
+  left = std::min(per_s, left + (now - at) * per_s);
+  at = now;
+  if (left < n) return false;
+  left -= n;
+  return true;
+}
+
 net::Answer State::answer(net::ExchangePtr ex) {
   try {
     if (ex->path == "/kv" && !ex->post) return page(ex->query);
@@ -88,6 +102,8 @@
 
 net::Answer State::commit(const std::string& body) {
   wire::Txn t = far::decode_txn(body);
+  // Also of one whose conditions then fail.
+  if (!writes_.take(static_cast<double>(t.ops.size()), loop_.now())) return {429, "{}", 0};
   for (const auto& op : t.ops)
     if (op.lease && !leases_.contains(op.lease)) return {400, "{\"error\":\"no such lease\"}", 0};
   std::vector<std::string> failed;
--- a/src/standins/state.h
+++ b/src/standins/state.h
@@ -1,5 +1,5 @@
 // A stand-in for the state service, for sets on one machine: PROTOCOL, "Controller nodes -> state
-// service", without the rates. What it holds is in one log of JSON lines, synced before an answer;
+// service". What it holds is in one log of JSON lines, synced before an answer;
 // a torn last line is what nobody was told of. Written anew at each start.
 #pragma once
 #include <deque>
@@ -22,6 +22,9 @@
   // An outage: everything is answered 503, open watches stay open, and once it is over every lease
   // has its full time again.
   void outage(bool on);
+  // Above these, a second's worth at once allowed, requests are answered 429. Without this call
+  // there are no limits.
+  void limit(double rps, double write_rps);
 
  private:
   struct Entry {
@@ -38,6 +41,11 @@
     double until = 0;
     net::ExchangePtr ex;
   };
+  // What a rate has left.
+  struct Pace {
+    double per_s = 0, left = 0, at = 0;  // per_s 0: no limit
+    bool take(double n, double now);
+  };
   net::Answer answer(net::ExchangePtr ex);
   net::Answer get(const std::string& key);
   net::Answer page(const std::string& query);
@@ -59,6 +67,7 @@
   std::filesystem::path log_;
   int fd_ = -1;
   bool out_ = false;
+  Pace requests_, writes_;
   actor::Timer timer_;
   net::Server http_;
 };
--- a/src/standins/worker.cpp
+++ b/src/standins/worker.cpp
@@ -42,13 +42,15 @@
   r.session = session_;
   r.seq = ++seq_;
   r.token = token_;
-  for (const Task& t : tasks_) r.tasks.push_back({t.id, t.attempt, t.state, t.why});
+  if (taken_at_) r.notice_s = std::max(0.0, *taken_at_ - loop_.now());
+  for (const Task& t : tasks_) r.tasks.push_back({t.id, t.attempt, t.state, t.why, t.kept});
   return r;
 }
 
 // ---- reports
 
 void Worker::report() {
+  expire();
   if (out_) {
     again_ = true;
     return;
@@ -65,7 +67,8 @@
 void Worker::answered(double sent, std::uint64_t of, const net::Result& r) {
   out_ = false;
   expire();
-  if (r.status == 200) {
+  // One that hung may find an answer that it has waited for too long: dropped as if none had come.
+  if (r.status == 200 && loop_.now() - sent <= kPatience) {
     try {
       far::Orders o = far::decode_orders(r.body);
       if (of == session_ && o.token && *o.token >= token_) {
@@ -113,6 +116,7 @@
 // ---- commands
 
 void Worker::direct(const net::ExchangePtr& ex) {
+  expire();
   if (ex->path == "/status") return ex->send({200, far::encode_report(state()), 0});
   far::Orders o;
   try {
@@ -122,7 +126,6 @@
   }
   if (ex->path != "/orders") return ex->send({404, "{}", 0});
   if (!o.token || !o.session) return ex->send({400, "{}", 0});
-  expire();
   if (*o.token < token_ || *o.session != session_)
     return ex->send({409, far::encode_report(state()), 0});
   obey(*o.token, o.commands);
@@ -144,10 +147,7 @@
     if (c.op == Command::Op::start && t == tasks_.end()) {
       start(c);
     } else if (c.op == Command::Op::stop && t != tasks_.end() && t->state != RunState::exited) {
-      t->state = RunState::exited;
-      t->why = Why::stopped;
-      watched_.moved(*this, *t);
-      changed();
+      stop(*t, c.grace_s);
     } else if (c.op == Command::Op::forget && t != tasks_.end() && t->state == RunState::exited) {
       watched_.reaped(*t);
       tasks_.erase(t);
@@ -175,12 +175,39 @@
     t.next = loop_.now() + work->fetch_s;
   }
   tasks_.push_back(t);
-  watched_.moved(*this, tasks_.back());
+  watched_.moved(*this, tasks_.back(), t.state);
+  changed();
+}
+
+void Worker::stop(Task& t, double grace_s) {
+  const RunState was = t.state;
+  if (was == RunState::saving) {
+    // Only one without any time ends it; one with time to save prolongs nothing.
+    if (grace_s > 0) return;
+  } else if (was == RunState::running && t.work.checkpoint_s > 0 && grace_s >= t.work.save_s) {
+    t.state = RunState::saving;
+    t.next = loop_.now() + t.work.save_s;
+    watched_.moved(*this, t, was);
+    return changed();
+  }
+  t.state = RunState::exited;
+  t.why = Why::stopped;
+  watched_.moved(*this, t, was);
+  changed();
+}
+
+void Worker::notice(double recall_s) {
+  taken_at_ = loop_.now() + recall_s;
   changed();
 }
 
 // ---- tasks
 
+void Worker::stood_still(double seconds) {
+  for (Task& t : tasks_) t.next += seconds;
+  arm();
+}
+
 void Worker::arm() {
   double next = 1e18;
   for (const Task& t : tasks_)
@@ -188,19 +215,20 @@
   if (next < 1e18) task_timer_.after(std::max(0.0, next - loop_.now()));
 }
 void Worker::advance() {
-  // What was due before the lease ended is done; nothing runs beyond it.
   expire();
   const double now = loop_.now();
   for (Task& t : tasks_) {
     if (t.state == RunState::exited || t.next > now) continue;
-    if (t.state == RunState::fetching) {
+    const RunState was = t.state;
+    if (was == RunState::fetching) {
       t.state = RunState::running;
       t.next = now + t.work.run_s;
     } else {
       t.state = RunState::exited;
-      t.why = Why::done;
+      t.kept = was == RunState::saving;
+      t.why = t.kept ? Why::stopped : Why::done;
     }
-    watched_.moved(*this, t);
+    watched_.moved(*this, t, was);
     changed();
   }
   arm();
--- a/src/standins/worker.h
+++ b/src/standins/worker.h
@@ -1,5 +1,6 @@
 // A stand-in for a worker: PROTOCOL, "Workers -> controller nodes" and "Controller nodes ->
-// workers". Its tasks are clocks: an image that takes so long to come, and a run time.
+// workers". Its tasks are clocks: an image that takes so long to come, a run time, and the time
+// that it takes to save. Whatever it is woken by, it looks at its lease first.
 #pragma once
 #include <functional>
 #include <optional>
@@ -27,6 +28,7 @@
   // What a task is, as its user's upload says; none: no such job.
   struct Work {
     double cpus = 1, fetch_s = 1, run_s = 10;
+    double checkpoint_s = 0, save_s = 0;  // checkpoint_s 0: it never saves
   };
   using Describe = std::function<std::optional<Work>(const wire::TaskId&)>;
   struct Task {
@@ -34,12 +36,14 @@
     std::uint64_t attempt = 0;
     wire::RunState state = wire::RunState::fetching;
     wire::Why why = wire::Why::none;
+    bool kept = false;  // stopped, and its progress was saved
     Work work;
-    double next = 0;  // when its image is there, or it completes
+    double next = 0;  // when its image is there, it completes, or it has saved
   };
   struct Watched {
-    std::function<void(const Worker&, const Task&)> moved;  // after each change of a task's state
-    std::function<void(const Task&)> reaped;                // an exited one, by command
+    // After each change of a task's state; `was`: the one before, the same for a new task.
+    std::function<void(const Worker&, const Task&, wire::RunState was)> moved;
+    std::function<void(const Task&)> reaped;  // an exited one, by command
   };
   Worker(actor::Loop& loop, Settings s, Describe describe, unsigned seed, Watched watched);
 
@@ -50,6 +54,10 @@
     static const std::vector<Task> none;
     return loop_.now() - leased_from_ > s_.lease_s ? none : tasks_;
   }
+  // The cloud takes the machine in so many seconds, says the notice.
+  void notice(double recall_s);
+  // It has stood still for so long: what its tasks have left to do is still left.
+  void stood_still(double seconds);
   std::uint64_t session() const { return session_; }
   std::uint64_t leases_lost() const { return leases_lost_; }  // with tasks on it
 
@@ -61,6 +69,7 @@
   void direct(const net::ExchangePtr& ex);
   void obey(std::uint64_t token, const std::vector<wire::Command>& commands);
   void start(const wire::Command& c);
+  void stop(Task& t, double grace_s);
   void changed();
   void advance();
   void arm();
@@ -76,6 +85,7 @@
   double sent_at_ = -1e9, token_told_ = -1e9;
   std::size_t node_ = 0;
   bool out_ = false, again_ = false;
+  std::optional<double> taken_at_;  // by the notice
   std::vector<std::unique_ptr<net::Client>> nodes_;
   actor::Timer report_timer_, task_timer_, lease_timer_;
   net::Server http_;
--- a/tests/meetings.h
+++ b/tests/meetings.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,24 @@
 inline int some_machine(Set& s) { return static_cast<int>(s.sim().rng()() % s.machines()); }
 inline int some_node(Set& s) { return static_cast<int>(s.sim().rng()() % s.scale().controllers); }
 
+// Cancels this share of the jobs that are not over, through any controllers.
+inline std::vector<std::string> cancel_some(Set& s, double share) {
+  std::vector<std::string> out;
+  for (const auto& [id, j] : s.jobs())
+    if (j.accepted && !j.cancel_asked && j.told_done < 0 && s.sim().chance(share))
+      out.push_back(id);
+  for (const auto& id : out) s.cancel(id);
+  return out;
+}
+// Work of the highest band, which others make room for.
+inline void submit_urgent(Set& s, int jobs) {
+  for (int i = 0; i < jobs; ++i) {
+    wire::JobSpec urgent = spec(i % 2 ? "red" : "blue", 2, 2);
+    urgent.priority = wire::Priority::critical;
+    s.submit(urgent, s.sim().draw(3, 12));
+  }
+}
+
 inline const std::vector<Trouble>& troubles() {
   static const std::vector<Trouble> all = {
       {"late reports",
@@ -95,6 +114,109 @@
        }},
       {"cloud down", [](Set& s) { s.cloud_outage(s.sim().draw(20, 120)); }},
       {"a machine dies", [](Set& s) { s.kill_machine(some_machine(s)); }},
+      {"machines mute",
+       [](Set& s) {
+         for (int i = 0; i < 3; ++i) s.mute(some_machine(s), s.sim().draw(5, 60));
+       }},
+      {"machines hang for long",
+       [](Set& s) {
+         const double longest = s.scale().cancel_s + 25;
+         for (int i = 0; i < 3; ++i) s.hang(some_machine(s), s.sim().draw(5, longest));
+       }},
+      {"machines hang in chains",
+       [](Set& s) {
+         for (int i = 0; i < 3; ++i)
+           s.hang_in_chains(some_machine(s), 2 + static_cast<int>(s.sim().rng()() % 4));
+       }},
+      {"writes answered by nothing but done",
+       [](Set& s) {
+         s.scale().unanswered_writes = s.sim().draw(0.1, 0.6);
+         s.sim().at(s.now() + s.sim().draw(20, 60), [&s] { s.scale().unanswered_writes = 0; });
+       }},
+      {"reports kept for the next leader",
+       [](Set& s) {
+         s.scale().copies_for_next = s.sim().draw(0.1, 0.5);
+         s.sim().at(s.now() + s.sim().draw(20, 90), [&s] { s.scale().copies_for_next = 0; });
+       }},
+      {"many cancelled and their machines hang",
+       [](Set& s) {
+         std::vector<std::string> jobs = cancel_some(s, s.sim().draw(0.4, 0.9));
+         int left = 8;
+         for (const auto& id : jobs)
+           for (int m : s.machines_with(id)) {
+             if (left == 0 || s.sim().chance(0.2)) continue;
+             --left;
+             const double for_s = s.sim().draw(2, 60);
+             const bool chain = s.sim().chance(0.3);
+             s.sim().at(s.now() + s.sim().draw(0, 2), [&s, m, for_s, chain] {
+               if (chain)
+                 s.hang_in_chains(m, 3);
+               else
+                 s.hang(m, for_s);
+             });
+           }
+       }},
+      {"others make room and are cancelled",
+       [](Set& s) {
+         submit_urgent(s, 6);
+         s.sim().at(s.now() + s.sim().draw(2, 15), [&s] { cancel_some(s, 0.5); });
+       }},
+      {"spot machines are taken",
+       [](Set& s) {
+         for (int i = 0; i < 2; ++i)
+           s.take_machine(some_machine(s), s.sim().chance(0.2) ? 0 : s.sim().draw(10, 30));
+       }},
+      {"a zone cut with its controller",
+       [](Set& s) {
+         s.cut_zone(s.sim().chance(0.5) ? "a" : "b", s.scale().lease_s + s.sim().draw(1, 30));
+       }},
+      {"all away for longer than the lease",
+       [](Set& s) {
+         for (int n = 0; n < s.scale().controllers; ++n)
+           s.kill(n, s.scale().lease_s + s.sim().draw(1, 15));
+       }},
+      {"leaders change ten times",
+       [](Set& s) {
+         for (int i = 0; i < 10; ++i)
+           s.sim().at(s.now() + 12 * i + s.sim().draw(0, 8), [&s] {
+             if (s.sim().chance(0.6))
+               s.kill(s.busiest(), s.sim().draw(0.05, 8));
+             else
+               s.cut(s.busiest(), Set::state | (s.sim().chance(0.5) ? Set::peers : 0), 11);
+           });
+         if (s.sim().chance(0.5)) {
+           const double for_s = s.sim().draw(5, 60);
+           s.sim().at(s.now() + s.sim().draw(0, 60), [&s, for_s] { s.outage(for_s); });
+         }
+       }},
+      {"slow links",
+       [](Set& s) {
+         s.scale().slow_links_s = s.sim().draw(0.2, 1);
+         s.sim().at(s.now() + s.sim().draw(20, 60), [&s] { s.scale().slow_links_s = 0; });
+       }},
+      {"new machines up at once",
+       [](Set& s) {
+         s.scale().quick_boots_s = s.sim().draw(0.3, 2);
+         s.sim().at(s.now() + 90, [&s] { s.scale().quick_boots_s = 0; });
+         for (int i = 0; i < 2; ++i) s.kill_machine(some_machine(s));
+       }},
+      {"orders held and reports passed on",
+       [](Set& s) {
+         const double for_s = s.sim().draw(10, 100);
+         s.cut(s.busiest(), Set::reports, for_s);
+         for (int m = 0; m < s.machines(); ++m) {
+           if (s.sim().chance(0.7)) s.hold_orders(m, for_s * s.sim().draw(0.5, 1.5));
+           if (s.sim().chance(0.5)) s.hold_direct_answers(m, for_s * s.sim().draw(0.5, 1.5));
+         }
+         s.sim().at(s.now() + s.sim().draw(0, 10), [&s] { cancel_some(s, 0.4); });
+       }},
+      {"refused alone with cancellations, then out",
+       [](Set& s) {
+         const double out_s = s.scale().cancel_s + s.sim().draw(2, 25);
+         s.refuse(s.busiest(), 1 + s.sim().draw(0, out_s + 10));
+         cancel_some(s, 0.7);
+         s.sim().at(s.now() + 1, [&s, out_s] { s.outage(out_s); });
+       }},
   };
   return all;
 }
@@ -102,17 +224,37 @@
 struct Played {
   std::vector<std::string> broken, names;
   std::size_t done = 0, unfinished = 0;
-  std::uint64_t begun_again = 0;
+  std::uint64_t begun_again = 0, saves = 0;
+  Set::AfterCancel after_cancel;
 };
 
+// For a share of the seeds any settings that are accepted, and rates near what a set needs.
+inline Scale drawn_scale(unsigned seed) {
+  std::mt19937 rng(seed * 7919u + 17);
+  auto draw = [&](double from, double to) {
+    return std::uniform_real_distribution<>(from, to)(rng);
+  };
+  Scale s;
+  s.controllers = 2 + static_cast<int>(seed % 4);
+  s.machines = 4 + static_cast<int>(seed % 5);
+  if (draw(0, 1) < 0.4) {
+    s.report_s = draw(1, 8);
+    s.lease_s = draw(12, 40);
+    s.cancel_s = s.lease_s + 5 + (draw(0, 1) < 0.5 ? 0 : draw(0, 20));
+  }
+  if (draw(0, 1) < 0.3) {
+    s.state_rps = draw(60, 150);
+    s.state_write_rps = draw(15, 40);
+    s.cloud_rps = draw(2, 8);
+  }
+  return s;
+}
+
 // Two or three troubles begin within a few seconds of each other, twice, while users submit, ask
 // and cancel; then it is quiet, and every accepted job has to be known everywhere, and to be over.
 // `named` are always among them.
 inline Played play(unsigned seed, const std::vector<std::string>& named = {}) {
-  Scale scale;
-  scale.controllers = 2 + static_cast<int>(seed % 4);
-  scale.machines = 4 + static_cast<int>(seed % 5);
-  Set set(seed, scale);
+  Set set(seed, drawn_scale(seed));
   auto& sim = set.sim();
   Played out;
   set.pass(12);
@@ -124,6 +266,13 @@
       s.spread = !s.one_zone && sim.chance(0.15);
       if (sim.chance(0.1)) s.zone = "b";
       s.service = sim.chance(0.1);
+      s.priority = static_cast<wire::Priority>(sim.rng()() % wire::kPriorities);
+      if (sim.chance(0.15)) s.cpus = 2;
+      if (sim.chance(0.1)) s.image_gb = sim.draw(2, 20);
+      if (sim.chance(0.35)) {
+        s.checkpoint_s = sim.draw(5, 30);
+        s.save_s = sim.draw(2, 25);
+      }
       if (sim.chance(0.25) && !jobs.empty())
         if (const auto& a = jobs[sim.rng()() % jobs.size()];
             set.jobs().at(a).accepted && !set.jobs().at(a).spec.service)
@@ -155,7 +304,7 @@
     }
   }
   set.pass(80);  // the longest of them is over
-  set.scale().late_writes = set.scale().report_copies = 0;
+  set.scale().late_writes = set.scale().report_copies = set.scale().unanswered_writes = 0;
   set.pass(420);
   set.ask_all();
   for (const auto& [id, j] : set.jobs()) {
@@ -168,6 +317,8 @@
   out.broken = set.broken();
   out.done = set.done_tasks();
   out.begun_again = set.begun_again();
+  out.saves = set.saves();
+  out.after_cancel = set.after_cancel();
   return out;
 }
 
@@ -180,14 +331,22 @@
 inline void expect_whole(unsigned first, unsigned last,
                          const std::vector<std::string>& named = {}) {
   std::size_t done = 0;
+  Set::AfterCancel latest;
   for (unsigned seed = first; seed <= last; ++seed) {
     Played p = play(seed, named);
     EXPECT_EQ(p.broken, std::vector<std::string>{}) << "seed " << seed << ": " << text(p.names);
     EXPECT_EQ(p.unfinished, 0u) << "seed " << seed << ": " << text(p.names);
     EXPECT_EQ(p.begun_again, 0u) << "seed " << seed << ": " << text(p.names);
     done += p.done;
+    latest.obeyed = std::max(latest.obeyed, p.after_cancel.obeyed);
+    latest.begun = std::max(latest.begun, p.after_cancel.begun);
+    latest.on_machine = std::max(latest.on_machine, p.after_cancel.on_machine);
   }
   EXPECT_GT(done, (last - first + 1) * 10u);
+  // In what is written of the run; no rule is made of them.
+  ::testing::Test::RecordProperty("obeyed_after_cancel_s", std::to_string(latest.obeyed));
+  ::testing::Test::RecordProperty("begun_after_cancel_s", std::to_string(latest.begun));
+  ::testing::Test::RecordProperty("on_machine_after_cancel_s", std::to_string(latest.on_machine));
 }
 
 }  // namespace shunt::test
