A job that names one that has just ended no longer stands still

Cause: Outcomes reads the final record of each awaited job that is not live, but not of one whose record it knows already: and what it knew was told to the pipelines only when the record came. A node that had read an end (its own commit, or a poll) before the key of a job that awaits it came never told them, and never read again. The accepting node takes such a job as long as its cache still shows the awaited one live. Where every node had read the end first the job stood still for good, and each question about it was answered 503, which counts as forgotten.

Change: when the key of a waiting job comes, what is known of the ends of those it awaits is told.

--- a/src/front/outcomes.cpp
+++ b/src/front/outcomes.cpp
@@ -131,10 +131,17 @@
   for (const auto& c : changes) switch (c.kind) {
       case state::Change::job_set:
       case state::Change::job_gone:
-      case state::Change::waiting_set:
       case state::Change::waiting_gone:
         pipelines_.note(c.name);
         break;
+      case state::Change::waiting_set:
+        pipelines_.note(c.name);
+        // What it awaits may have ended, and been read for somebody else, before anything awaited
+        // it: what is known is not read again.
+        if (const auto* w = parts_.store->world().waiting(c.name))
+          for (const auto& a : w->record.spec.awaits)
+            if (const auto* f = final(a)) pipelines_.ended(a, f->cancelled);
+        break;
       default:
         break;
     }
