Users: what comes under a known name is a retry, what can never run is refused

- A body that lacks a field, or is too long to be kept, under the name of an accepted job got 400: a refusal of a job that was accepted.
Now its uid is looked up first, as with 422.
- A cancellation beside the submission itself could be answered "queued", which is no answer to it: it is 404, or an outcome.
- A service or gang whose tasks can't be together within its zones (scatter with same_place, or with one zone by its yard or its types) was accepted and never whole; now 422, as with the team's limit.
An array's tasks may run one after the other, and it is accepted.
- A type that is offered only in zones that the settings don't name, and amounts beyond a machine by less than the half millionth that is rounded away: 422.
- The room of whole machines is compared to the last digit, beside the rounded sum.

--- a/src/front/users.cpp
+++ b/src/front/users.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "front/cloud.h"
 #include "front/levels.h"
@@ -60,17 +61,26 @@
   if (t < 0) return 422;
   if (parts_.cloud->catalogue().empty()) return 503;
   const auto& team = parts_.settings.teams[t];
-  double n = s.service || s.gang ? s.tasks : 1;  // what must run at the same time
+  const std::uint32_t at_once = s.service || s.gang ? s.tasks : 1;  // what must run together
   auto over = [](double want, double limit) { return want > limit + 1e-9; };
-  if (over(s.cpus * n, team.cpus_max) || over(s.gpus * n, team.gpus_max)) return 422;
+  if (over(s.cpus * at_once, team.cpus_max) || over(s.gpus * at_once, team.gpus_max)) return 422;
   const fleet::Catalogue& c = parts_.cloud->catalogue();
   const auto need = jobs::Amount::of(s.cpus, s.gpus, s.mem_gb);
+  const int only = s.zone ? parts_.settings.zone_index(*s.zone) : -1;
+  std::set<std::size_t> zones;  // in which one of its tasks fits a machine
   for (std::size_t i = 0; i < c.types.size(); ++i) {
-    const auto& zones = c.types[i].spec.zones;
-    if (s.zone && std::find(zones.begin(), zones.end(), *s.zone) == zones.end()) continue;
-    if (c.takes(2 * static_cast<int>(i), s, need)) return 0;
+    const auto& type = c.types[i];
+    // To the last digit too: millionths are rounded, and the worker would refuse it.
+    if (!c.takes(2 * static_cast<int>(i), s, need) || over(s.cpus, type.spec.cpus) ||
+        over(s.gpus, type.spec.gpus) || over(s.mem_gb, type.spec.mem_gb))
+      continue;
+    for (std::size_t z = 0; z < type.in_zone.size(); ++z)
+      if (type.in_zone[z] && (!s.zone || static_cast<int>(z) == only)) zones.insert(z);
   }
-  return 422;
+  if (zones.empty()) return 422;
+  // At most half of what runs together may be in one zone: it takes two, and may not be in one.
+  if (s.spread && at_once > 1 && (s.one_zone || zones.size() < 2)) return 422;
+  return 0;
 }
 
 // The state of a job, from a read that began after the request came. `unknown` runs if the state
@@ -135,7 +145,10 @@
   try {
     r.spec = wire::decode_job(ex->body);
   } catch (const wire::Malformed& e) {
-    return ex->send(no(400, e.what()));
+    // Under the name of a job that was accepted it is a retry, whatever its body is now.
+    const std::string id = wire::job_id_of(ex->body);
+    auto refuse = [ex, why = std::string(e.what())] { ex->send(no(400, why)); };
+    return id.empty() ? refuse() : answer_state(ex, id, false, refuse);
   }
   ++submissions_;
   const std::string& id = r.spec.id;
@@ -211,8 +224,11 @@
                      wire::encode_record(r), 0});
   }
   const std::size_t size = t.ops[0].value->size();
-  const std::string too_long = "the job's description is too long";
-  if (size > parts_.state.limits().room().value_bytes) return ex->send(no(400, too_long));
+  // Another node may have accepted it under another body an instant ago.
+  auto too_long = [this, ex, id] {
+    answer_state(ex, id, false, [ex] { ex->send(no(400, "the job's description is too long")); });
+  };
+  if (size > parts_.state.limits().room().value_bytes) return too_long();
   parts_.store->commit(
       std::move(t), state::Urgency::user, kSubmitWait,
       reply<state::CommitResult>([this, ex, id, f, size, too_long](state::CommitResult c) {
@@ -225,7 +241,7 @@
           case state::CommitResult::guard_failed:
             return answer_state(ex, id, false, [ex] { ex->send(later()); });
           case state::CommitResult::too_large:
-            if (size > parts_.state.limits().room().value_bytes) return ex->send(no(400, too_long));
+            if (size > parts_.state.limits().room().value_bytes) return too_long();
             [[fallthrough]];
           default:
             ++refused_;
@@ -236,7 +252,7 @@
 
 void Users::withdraw(const ExchangePtr& ex, const std::string& id, int tries) {
   if (tries == 0) return ex->send(later());
-  if (parts_.outcomes->final(id)) return withdrawn(ex, id);
+  if (const auto* f = parts_.outcomes->final(id)) return answer_final(ex, id, *f, false);
   parts_.store->barrier(reply<bool>([this, ex, id, tries](bool ok) {
     if (!ok) return ex->send(later());
     const state::World& world = parts_.store->world();
@@ -245,15 +261,24 @@
     parts_.outcomes->standings(
         {id}, reply<Outcomes::Standings>([this, ex, id, tries](Outcomes::Standings s) {
           // Cancelled already, with one before it.
-          if (s.of[0] == jobs::Pipelines::Standing::cancelled) return withdrawn(ex, id);
+          if (s.of[0] == jobs::Pipelines::Standing::cancelled) return cancelled(ex, id);
           cancel(ex, id, tries);
         }));
   }));
 }
 
-// It is over, or nobody knows it.
+// Not live at the barrier: it is over, or nobody knows it. One that is accepted just now is called
+// unknown, and not queued: that is no answer to a cancellation.
 void Users::withdrawn(const ExchangePtr& ex, const std::string& id) {
-  answer_state(ex, id, false, [ex] { ex->send(no(404, "no such job")); });
+  parts_.outcomes->look(id, reply<Outcomes::Look>([this, ex, id](Outcomes::Look found) {
+                          if (found == Outcomes::Look::no) return ex->send(no(404, "no such job"));
+                          const auto* f = parts_.outcomes->final(id);
+                          if (found == Outcomes::Look::unread || !f) return ex->send(later());
+                          answer_final(ex, id, *f, false);
+                        }));
+}
+void Users::cancelled(const ExchangePtr& ex, const std::string& id) {
+  ex->send({200, wire::encode_job_state(id, wire::JobState::cancelled, 0, 0, false), 0});
 }
 
 // Done and cancelled race for the same keys: whichever commit comes first is the answer.
@@ -261,25 +286,24 @@
   const state::World& world = parts_.store->world();
   const bool waits = world.waiting(id) != nullptr;
   const state::JobEntry* j = waits ? world.waiting(id) : world.job(id);
-  if (!j) return withdrawn(ex, id);
+  if (!j) return withdraw(ex, id, tries - 1);
   wire::FinalRecord f = wire::cancelled_record(j->record.spec, next_tag());
   const std::string key = waits ? state::waiting_key(id) : state::job_key(id);
   wire::Txn t;
   t.guards = {{key, j->stamp}, {state::final_key(id), 0}};
   t.ops.push_back({key, std::nullopt, 0});
   t.ops.push_back({state::final_key(id), wire::encode_record(f), 0});
-  parts_.store->commit(
-      std::move(t), state::Urgency::user, kSubmitWait,
-      reply<state::CommitResult>([this, ex, id, f, tries](state::CommitResult c) {
-        if (c.kind == state::CommitResult::applied) {
-          parts_.outcomes->ended(id, f);
-          ex->send({200, wire::encode_job_state(id, wire::JobState::cancelled, 0, 0, false), 0});
-        } else if (c.kind == state::CommitResult::guard_failed) {
-          withdraw(ex, id, tries - 1);
-        } else {
-          ex->send(later());
-        }
-      }));
+  parts_.store->commit(std::move(t), state::Urgency::user, kSubmitWait,
+                       reply<state::CommitResult>([this, ex, id, f, tries](state::CommitResult c) {
+                         if (c.kind == state::CommitResult::applied) {
+                           parts_.outcomes->ended(id, f);
+                           cancelled(ex, id);
+                         } else if (c.kind == state::CommitResult::guard_failed) {
+                           withdraw(ex, id, tries - 1);
+                         } else {
+                           ex->send(later());
+                         }
+                       }));
 }
 
 // A team's live jobs, in id order.
--- a/src/front/users.h
+++ b/src/front/users.h
@@ -26,6 +26,7 @@
   void poll(const ExchangePtr& ex, const std::string& id);
   void withdraw(const ExchangePtr& ex, const std::string& id, int tries);
   void withdrawn(const ExchangePtr& ex, const std::string& id);
+  static void cancelled(const ExchangePtr& ex, const std::string& id);
   void cancel(const ExchangePtr& ex, const std::string& id, int tries);
   void team(const ExchangePtr& ex, const std::string& name);
   void answer_state(const ExchangePtr& ex, const std::string& id, bool counts,
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -116,6 +116,14 @@
 }
 
 JobSpec decode_job(std::string_view body) { return guarded(body, job_of); }
+std::string job_id_of(std::string_view body) {
+  try {
+    std::string id = guarded(body, [](const json& j) { return text(j, "uid"); });
+    return valid_job_id(id) ? id : "";
+  } catch (const Malformed&) {
+    return "";
+  }
+}
 std::string encode_job(const JobSpec& s) {
   json j = job_json(s);
   if (!s.awaits.empty()) j["awaits"] = s.awaits;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -20,7 +20,8 @@
 
 // Users
 JobSpec decode_job(std::string_view body);
-std::string encode_job(const JobSpec& s);  // as a user submits it
+std::string job_id_of(std::string_view body);  // whatever else is wrong with it; none: ""
+std::string encode_job(const JobSpec& s);      // as a user submits it
 std::string encode_job_state(const std::string& id, JobState s, std::uint64_t done,
                              std::uint64_t running, bool counts);
 const char* state_name(JobState s);
