Rehearsal: users who look closely, ends that are met, lost answers, odd requests

Set: all that users are told about a job is one register across nodes, by real time of answer and question: 404, 400 or 422 after it was accepted, 201 twice, two final states, a cancellation that is answered by no outcome, 200 for what nobody submitted. Users ask all nodes 1 to 50 ms apart for half a second after each news, submit again, also other bodies, cancel at once and at the moment of a last task's end. The answers of a share of transactions, of one kind alone, are lost.

Not in it: leaving, which a set of one build doesn't do.

--- a/src/rehearsal/set.cpp
+++ b/src/rehearsal/set.cpp
@@ -39,9 +39,10 @@
   users_host_ = std::make_unique<Host>(sim_, "users");
   state_ = std::make_unique<standins::State>(state_host_->loop(), s.state, "");
   wire::MachineType type{"t4", scale.machine_cpus, 0, 64, 0.4, 0.1, kBoot, s.zones};
+  std::vector<standins::CloudType> types{{type, scale.machines}};
+  types.insert(types.end(), scale.more_types.begin(), scale.more_types.end());
   cloud_ = std::make_unique<standins::Cloud>(
-      cloud_host_->loop(), s.cloud, std::vector<standins::CloudType>{{type, scale.machines}}, 60,
-      "",
+      cloud_host_->loop(), s.cloud, std::move(types), 60, "",
       standins::Cloud::Power{
           [this] { return "w-" + std::to_string(++addresses_) + ":9"; },
           [this](const standins::Cloud::Machine& m) { power_on(m); },
@@ -146,7 +147,8 @@
     ++starts_;
     begun_again_ += reaped_.contains(name);
   }
-  if (t.state == RunState::exited && t.why == wire::Why::done) results_.insert(name);
+  if (t.state == RunState::exited && t.why == wire::Why::done && results_.insert(name).second)
+    task_done(t.id.job);
   if (t.state != RunState::running) return;
   const wire::JobSpec& spec = jobs_[t.id.job].spec;
   std::uint32_t here = 0, elsewhere = 0;  // the job's tasks by zone
--- a/src/rehearsal/set.h
+++ b/src/rehearsal/set.h
@@ -3,6 +3,7 @@
 // a test orders. The rules of the protocol are checked as it goes; they know nothing of the
 // controllers' state, only what is on the machines and what users were told.
 #pragma once
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -31,6 +32,18 @@
   double late_writes = 0;    // the share of transactions that get no answer and come 2 to 12 s late
   double state_latency_s = 0.005;
   bool relay = true;
+
+  // Users who look closely: the share of jobs about which they ask all nodes within milliseconds,
+  // again and again, and submit again, once one was accepted, has ended or was called cancelled.
+  double close_looks = 0;
+  double cancel_at_once = 0;  // the share of jobs that are called off as soon as they are accepted
+  // The share of jobs whose last task's end meets a cancellation, a question, a repeated
+  // submission.
+  double meet_ends = 0;
+  // The share of transactions that are carried out at once, and get no answer; of these alone.
+  double lost_answers = 0;
+  std::function<bool(const std::string& body)> lose_answer_of;
+  std::vector<standins::CloudType> more_types;  // beside the one that there always is
 };
 
 class Set {
@@ -52,6 +65,8 @@
     bool accepted = false, cancel_asked = false;
     double told_cancelled = -1, told_done = -1;  // when a user was
     double answered = -1;                        // when a question about it last was
+    double told_accepted = -1;
+    std::uint32_t done = 0;  // tasks that have completed, somewhere
   };
   // Submitted through this controller, or any (-1), and repeated for a minute. Its tasks end far
   // apart: they run for once, twice or three times `run_s`, by number; a service's until they are
@@ -59,6 +74,19 @@
   std::string submit(wire::JobSpec spec, double run_s, int node = -1);
   // Repeated until it is answered.
   void cancel(const std::string& job, int node = -1);
+  // Half a second of questions at all nodes, 1 to 50 ms apart, with repeated submissions and, of
+  // what is over, cancellations among them.
+  void look_closely(const std::string& job);
+  // One question at this node, and one submission more, of this body if there is one. What comes
+  // back is checked like any answer.
+  void ask_once(const std::string& job, int node);
+  void submit_once(const std::string& job, int node, const std::string& body = "");
+  void cancel_once(const std::string& job, int node);
+  // A body under the job's name that it never had: other tasks, what can never run, a field less.
+  std::string other_body(const std::string& job);
+  std::uint64_t close_questions() const { return close_questions_; }
+  std::uint64_t ends_met() const { return ends_met_; }
+  std::uint64_t answers_lost() const { return answers_lost_; }
   const std::map<std::string, Job>& jobs() const { return jobs_; }
   // Every controller that is there is asked about every job: what is not answered, or as if it were
   // forgotten, breaks a rule.
@@ -122,7 +150,12 @@
   void submit_again(const std::string& id, int node, double until);
   void cancel_again(const std::string& id, int node);
   void poll(const std::string& id);
-  void told(const std::string& id, const net::Result& r, double asked_at);
+  enum class Asked { state, submission, cancellation };
+  void told(const std::string& id, const net::Result& r, double asked_at,
+            Asked what = Asked::state);
+  void task_done(const std::string& id);
+  void look_on(const std::string& id, int step, double until);
+  bool some(double share) { return share > 0 && sim_.chance(share); }
   bool cancelled_by_users(const std::string& id) const;  // itself, or what it awaits
   void moved(const standins::Worker& w, const standins::Worker::Task& t);
   void check();
@@ -148,6 +181,7 @@
   std::vector<std::string> broken_;
   std::uint64_t starts_ = 0, begun_again_ = 0, next_job_ = 0, questions_ = 0, addresses_ = 0,
                 lost_before_ = 0;
+  std::uint64_t close_questions_ = 0, ends_met_ = 0, answers_lost_ = 0;
 };
 
 }  // namespace shunt::rehearsal
--- a/src/rehearsal/set_network.cpp
+++ b/src/rehearsal/set_network.cpp
@@ -45,6 +45,11 @@
     } else if (r.path == "/commit" && sim_.chance(scale_.late_writes)) {
       w.arrives = false;
       w.copies_s = {sim_.draw(2, 12)};
+    } else if (r.path == "/commit" && scale_.lost_answers > 0 &&
+               (!scale_.lose_answer_of || scale_.lose_answer_of(r.body)) &&
+               sim_.chance(scale_.lost_answers)) {
+      w.answered = false;
+      ++answers_lost_;
     }
     return w;
   }
