--- a/src/rehearsal/set_users.cpp
+++ b/src/rehearsal/set_users.cpp
@@ -130,6 +130,7 @@
   const Job& j = jobs_[id];
   const int node = step % static_cast<int>(nodes_.size());
   if (step % kSubmitEvery == kSubmitEvery - 1) {
+    ask_once("run-9" + id.substr(5), node);  // which nobody submitted
     // Another body only once its user knows that it was accepted: before, it would be a submission.
     submit_once(id, any_node(),
                 j.told_accepted >= 0 && sim_.chance(0.5) ? other_body(id) : std::string());
