--- a/src/rehearsal/set.cpp
+++ b/src/rehearsal/set.cpp
@@ -51,6 +51,7 @@
   if (scale.big_machines > 0)
     types.push_back(
         {{"t8", 2 * scale.machine_cpus, 0, kMemGb, 0.8, 0.2, kBoot, s.zones}, scale.big_machines});
+  types.insert(types.end(), scale.more_types.begin(), scale.more_types.end());
   cloud_ = std::make_unique<standins::Cloud>(
       cloud_host_->loop(), s.cloud, std::move(types), scale.cloud_rps, "",
       standins::Cloud::Power{
--- a/src/rehearsal/set_rules.cpp
+++ b/src/rehearsal/set_rules.cpp
@@ -34,7 +34,8 @@
   saves_ += t.state == RunState::saving;
   // As it leaves: between two looks at the machines, too.
   if (was == RunState::running || was == RunState::saving) check_cancelled(t);
-  if (t.state == RunState::exited && t.why == wire::Why::done) results_.insert(name);
+  if (t.state == RunState::exited && t.why == wire::Why::done && results_.insert(name).second)
+    task_done(t.id.job);
   if (t.state != RunState::running) return;
   begun_.try_emplace(t.id.job, sim_.now());
   const wire::JobSpec& spec = jobs_[t.id.job].spec;
--- a/tests/meetings.h
+++ b/tests/meetings.h
@@ -130,8 +130,8 @@
        }},
       {"writes answered by nothing but done",
        [](Set& s) {
-         s.scale().unanswered_writes = s.sim().draw(0.1, 0.6);
-         s.sim().at(s.now() + s.sim().draw(20, 60), [&s] { s.scale().unanswered_writes = 0; });
+         s.scale().lost_answers = s.sim().draw(0.1, 0.6);
+         s.sim().at(s.now() + s.sim().draw(20, 60), [&s] { s.scale().lost_answers = 0; });
        }},
       {"reports kept for the next leader",
        [](Set& s) {
@@ -304,7 +304,7 @@
     }
   }
   set.pass(80);  // the longest of them is over
-  set.scale().late_writes = set.scale().report_copies = set.scale().unanswered_writes = 0;
+  set.scale().late_writes = set.scale().report_copies = set.scale().lost_answers = 0;
   set.pass(420);
   set.ask_all();
   for (const auto& [id, j] : set.jobs()) {
--- a/tests/meetings_limits_test.cpp
+++ b/tests/meetings_limits_test.cpp
@@ -30,7 +30,7 @@
 // Nothing troubles the set any more: all jobs end, users are answered, and no machine stays rented
 // without work.
 void calm_down(Set& set) {
-  set.scale().late_writes = set.scale().unanswered_writes = set.scale().slow_links_s = 0;
+  set.scale().late_writes = set.scale().lost_answers = set.scale().slow_links_s = 0;
   set.troubles_are_over();
   set.pass(kCalm);
   set.ask_all();
@@ -220,7 +220,7 @@
     }
     set.slow_state(sim.draw(0.2, 2.5), sim.draw(10, 60));
     if (sim.chance(0.6)) set.scale().late_writes = sim.draw(0.1, 0.4);
-    if (sim.chance(0.6)) set.scale().unanswered_writes = sim.draw(0.1, 0.4);
+    if (sim.chance(0.6)) set.scale().lost_answers = sim.draw(0.1, 0.4);
     const double ends = sim.draw(0.5, 10);
     const double cancels = sim.draw(0.5, 12);
     sim.at(sim.now() + ends, [&set, &sim] { set.kill(set.busiest(), sim.draw(0.05, 15)); });
