--- a/src/rehearsal/set.h
+++ b/src/rehearsal/set.h
@@ -107,9 +107,11 @@
   void kill_machine(int machine);
   void take_machine(int machine, double notice_s);  // a spot one, by its cloud; 0: without notice
   std::vector<int> machines_with(const std::string& job) const;  // on which tasks of it are
-  int owner(int shard) const;            // the first node that does; -1: none
-  bool acts(int node, int shard) const;  // its desk for the shard is open
-  int busiest();                         // of the nodes that own a shard
+  std::string room() const;    // by machine: zone, vcpus in use and in all, tasks; for messages
+  int owner(int shard) const;  // the first node that does; -1: none
+  bool acts(int node, int shard) const;           // its desk for the shard is open
+  int busiest();                                  // of the nodes that own a shard
+  int machine_at(const std::string& host) const;  // -1: none is there
   int machines() const { return static_cast<int>(machines_.size()); }
 
   // ---- rules
--- a/src/rehearsal/set_network.cpp
+++ b/src/rehearsal/set_network.cpp
@@ -210,6 +210,28 @@
   }
   return out;
 }
+int Set::machine_at(const std::string& host) const {
+  auto m = machine_by_host_.find(host);
+  return m == machine_by_host_.end() ? -1 : static_cast<int>(m->second);
+}
+std::string Set::room() const {
+  std::string out;
+  for (const auto& m : machines_) {
+    if (!m->worker) continue;
+    double used = 0;
+    std::string tasks;
+    for (const auto& t : m->worker->tasks()) {
+      if (t.state == wire::RunState::exited) continue;
+      used += t.work.cpus;
+      tasks += " " + name_of(t.id);
+      const wire::JobSpec& s = jobs_.at(t.id.job).spec;
+      tasks += " (" + s.team + (s.service ? ", service)" : ")");
+    }
+    out += (out.empty() ? "" : "; ") + m->zone + " " + std::to_string(static_cast<int>(used)) +
+           "/" + std::to_string(static_cast<int>(scale_.machine_cpus)) + tasks;
+  }
+  return out;
+}
 void Set::kill_machine(int machine) {
   Machine& m = *machines_[static_cast<std::size_t>(machine)];
   if (!m.worker) return;
--- /dev/null
+++ b/tests/meetings_standins_test.cpp
@@ -0,0 +1,197 @@
+// The stand-in worker by itself, as the protocol has workers: saving, hangs and leases.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "far/far.h"
+#include "rehearsal/simulation.h"
+#include "standins/state.h"
+#include "standins/worker.h"
+#include "wire/codec.h"
+
+namespace shunt::test {
+namespace {
+
+using rehearsal::Host;
+using rehearsal::Simulation;
+using standins::Worker;
+using wire::Command;
+using wire::RunState;
+
+// One worker, a controller that answers its reports 200 without commands while `answers`, and
+// whoever sends it direct orders.
+struct Bench {
+  Simulation sim;
+  Host node{sim, "node-0"}, machine{sim, "w-1"};
+  bool answers = true;
+  std::vector<RunState> states;  // of every task, one after the other
+  Worker::Work work{1, 0.5, 100, 10, 6};
+  std::unique_ptr<net::Server> server;
+  std::unique_ptr<Worker> worker;
+  std::vector<net::Network::Handle> out;
+
+  explicit Bench(unsigned seed = 1) : sim(seed) {
+    server = std::make_unique<net::Server>(node.loop(), config::Endpoint{"node-0", 80}, 64 * 1024,
+                                           [this](const net::ExchangePtr& ex) {
+                                             if (answers)
+                                               ex->send({200, R"({"staff":1,"orders":[]})", 0});
+                                           });
+    Worker::Settings s;
+    s.name = "m-1";
+    s.at = {"w-1", 9};
+    s.report_s = 2;
+    s.lease_s = 15;
+    s.nodes = {{"node-0", {"node-0", 80}}};
+    machine.any_order_after_freezes();
+    worker = std::make_unique<Worker>(
+        machine.loop(), s, [this](const wire::TaskId&) { return work; }, 1,
+        Worker::Watched{
+            [this](const Worker&, const Worker::Task& t, RunState) { states.push_back(t.state); },
+            [](const Worker::Task&) {}});
+    sim.run_until(1);
+  }
+  void order(const char* what, double brake_s = 0, std::uint64_t session = 1, int task = 0) {
+    const std::string body = R"({"staff":1,"shift":)" + std::to_string(session) +
+                             R"(,"orders":[{"order":")" + what + R"(","car":"run-100000/)" +
+                             std::to_string(task) + R"(","departure":1,"brake_s":)" +
+                             std::to_string(brake_s) + "}]}";
+    out.push_back(node.request({"w-1", 9}, "POST", "/orders", body, 60, [](net::Result) {}));
+  }
+  void pass(double s) { sim.run_until(sim.now() + s); }
+  RunState state() const {
+    return worker->tasks().empty() ? RunState::exited : worker->tasks().front().state;
+  }
+};
+
+TEST(StandInWorker, SavesWhenItIsStoppedWithTime) {
+  Bench b;
+  b.order("start");
+  b.pass(2);
+  ASSERT_EQ(b.state(), RunState::running);
+  b.order("halt", 6);
+  b.pass(5.9);
+  EXPECT_EQ(b.state(), RunState::saving);
+  b.pass(0.2);
+  ASSERT_EQ(b.state(), RunState::exited);
+  EXPECT_TRUE(b.worker->tasks().front().kept);
+  EXPECT_EQ(b.worker->tasks().front().why, wire::Why::stopped);
+}
+
+TEST(StandInWorker, EndsAtOnceWithoutTimeOrWithoutCheckpoints) {
+  for (const bool checkpoints : {true, false}) {
+    Bench b;
+    b.work.checkpoint_s = checkpoints ? 10 : 0;
+    b.order("start");
+    b.pass(2);
+    b.order("halt", checkpoints ? 5.9 : 60);
+    b.pass(0.1);
+    ASSERT_EQ(b.state(), RunState::exited);
+    EXPECT_FALSE(b.worker->tasks().front().kept);
+  }
+}
+
+// Another halt with time prolongs nothing; one without ends it.
+TEST(StandInWorker, ASavingTaskIsEndedByAHaltWithoutTimeAlone) {
+  for (const double second : {30.0, 1.0, 0.0}) {
+    Bench b;
+    b.order("start");
+    b.pass(2);
+    b.order("halt", 20);
+    b.pass(4);
+    b.order("halt", second);
+    b.pass(0.1);
+    EXPECT_EQ(b.state(), second > 0 ? RunState::saving : RunState::exited) << second;
+    b.pass(2);
+    ASSERT_EQ(b.state(), RunState::exited) << second;
+    EXPECT_EQ(b.worker->tasks().front().kept, second > 0) << second;
+  }
+}
+
+// Orders that came while it hung, its due tasks, its lease and its report come in any order as it
+// goes on; nothing of a lease that is over is run, and no start for its session is taken.
+TEST(StandInWorker, NothingSurvivesALeaseThatIsOver) {
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    Bench b(seed);
+    b.work.run_s = 4;
+    b.order("start");
+    b.pass(2);
+    b.states.clear();
+    b.machine.freeze(b.sim.now() + 20);
+    b.pass(1);
+    b.order("start", 0, 1, 1);
+    b.pass(18.5);
+    EXPECT_TRUE(b.worker->tasks().empty());
+    b.pass(1);
+    EXPECT_EQ(b.worker->session(), 2u);
+    EXPECT_TRUE(b.worker->tasks().empty());
+    EXPECT_EQ(b.states, std::vector<RunState>{}) << seed;
+  }
+}
+
+TEST(StandInWorker, GoesOnWithinItsLeaseInAnyOrder) {
+  std::set<std::vector<RunState>> seen;
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    Bench b(seed);
+    b.work.run_s = 4;
+    b.work.checkpoint_s = 0;
+    b.order("start");
+    b.pass(2);
+    b.states.clear();
+    b.machine.freeze(b.sim.now() + 8);
+    b.pass(1);
+    b.order("halt");
+    b.order("start", 0, 1, 1);
+    b.pass(7.2);
+    EXPECT_EQ(b.worker->session(), 1u);
+    EXPECT_EQ(b.worker->tasks().size(), 2u);
+    seen.insert(b.states);
+  }
+  EXPECT_GT(seen.size(), 1u);
+}
+
+// With every answer that waited longer than its patience dropped, the lease ends by itself.
+TEST(StandInWorker, AnAnswerThatWaitedForAHangRenewsNoLease) {
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    Bench b(seed);
+    b.pass(1.3);  // a report of its own is on its way now and then
+    b.answers = true;
+    b.machine.freeze(b.sim.now() + 14);
+    b.pass(0.5);
+    b.answers = false;
+    b.pass(15);
+    EXPECT_EQ(b.worker->session(), 2u) << seed;
+  }
+}
+
+TEST(StandInState, RefusesAboveItsRates) {
+  Simulation sim(1);
+  Host service(sim, "state"), user(sim, "node-0");
+  standins::State state(service.loop(), {"state", 1}, "");
+  state.limit(10, 4);
+  std::vector<int> gets, writes;
+  std::vector<net::Network::Handle> out;
+  auto ask = [&](const char* method, const char* path, const std::string& body,
+                 std::vector<int>& to) {
+    out.push_back(user.request({"state", 1}, method, path, body, 5,
+                               [&to](net::Result r) { to.push_back(r.status); }));
+    sim.run_until(sim.now() + 0.01);
+  };
+  // A second's worth at once; failed conditions count too.
+  const std::string write =
+      R"({"guards":[{"k":"a","stamp":7}],"writes":[{"drop":"a"},{"drop":"b"}]})";
+  for (int i = 0; i < 3; ++i) ask("POST", "/commit", write, writes);
+  EXPECT_EQ(writes, (std::vector<int>{409, 409, 429}));
+  for (int i = 0; i < 9; ++i) ask("GET", "/kv/a", "", gets);
+  EXPECT_EQ(std::count(gets.begin(), gets.end(), 404), 8);
+  EXPECT_EQ(gets.back(), 429);
+  sim.run_until(sim.now() + 0.6);
+  ask("POST", "/commit", write, writes);
+  EXPECT_EQ(writes.back(), 409);
+}
+
+}  // namespace
+}  // namespace shunt::test
