--- a/src/rehearsal/set_users.cpp
+++ b/src/rehearsal/set_users.cpp
@@ -112,6 +112,7 @@
     case 3:
       // Longer than what may be kept.
       spec.types.emplace(400, std::string(50, 'x'));
+      spec.types->emplace_back("t4");
       break;
     default: {
       std::string body = wire::encode_job(spec);
