Tests that fail: room beside waiting work, and large tasks behind small ones

Cause: a task on a machine's list moves on only when it waits in vain (Waiting::move_on), and what is on a list behind a task that has no room waits with it (Waiting::plan), so both wait beside room; only an empty machine goes to another shard. Under more work than room, tasks that need a whole machine wait for minutes while smaller ones of lower bands, which come later, begin. Change: two shortest histories, the meetings of teams at their limit with the rule "neglected", and the largest jobs of each class within four minutes, where total room and the team's limit allow it.

--- a/tests/meetings_limits_test.cpp
+++ b/tests/meetings_limits_test.cpp
@@ -193,6 +193,53 @@
   expect_limits(true);
 }
 
+// Once the troubles are over, room is given again: nothing waits beside it for 90 s.
+TEST(Limits, RoomIsGivenAgainOnceTheTroublesAreOver) {
+  each_seed([&](unsigned seed) {
+    for (const bool leader_first : {false, true}) {
+      AtLimit m(seed, leader_first);
+      calm_down(m.set);
+      EXPECT_EQ(broken_so(m.set, "neglected"), Strings{});
+    }
+  });
+}
+
+// There is one machine and no other to be had; a task that needs half of it waits for its turn.
+TEST(Limits, ASmallTaskDoesNotWaitBesideRoomBehindALargerOneThatHasNone) {
+  Scale s;
+  s.controllers = 1;
+  s.machines = 1;
+  Set set(1, s);
+  set.pass(12);
+  set.submit(spec("red", 1, 3), 300);
+  set.pass(15);
+  set.submit(spec("red", 1, 2), 20);
+  set.pass(3);
+  set.submit(spec("red", 1, 1), 20);
+  set.pass(5);
+  set.troubles_are_over();
+  set.pass(150);
+  EXPECT_EQ(set.broken(), Strings{});
+}
+
+// Each team's controller has a machine, and there is no other to be had: one is full, the other one
+// hardly in use.
+TEST(Limits, WorkDoesNotWaitBesideRoomOnAnotherControllersMachine) {
+  Scale s;
+  s.controllers = 2;
+  s.machines = 2;
+  Set set(1, s);
+  set.pass(12);
+  set.submit(spec("red", 1, 1), 300);
+  set.submit(spec("blue", 1, 4), 300);
+  set.pass(15);
+  set.submit(spec("blue", 1, 2), 20);
+  set.pass(5);
+  set.troubles_are_over();
+  set.pass(150);
+  EXPECT_EQ(set.broken(), Strings{});
+}
+
 // ---- new machines
 
 // Nothing is rented yet. Machines of two types are up at once and get work, writes lag and lists
@@ -506,5 +553,32 @@
   ::testing::Test::RecordProperty("never_begun", unserved);
 }
 
+TEST(Limits, MoreWorkThanRoomBeginsHalfOfEachClassesLargestWithinFourMinutes) {
+  int seeds = 0, possible = 0;
+  each_seed([&](unsigned seed) {
+    ++seeds;
+    Overload o(seed);
+    std::map<std::string, double> size;  // of a class's largest
+    for (const auto& j : o.all) size[j.cls] = std::max(size[j.cls], j.size);
+    std::map<std::string, Served> largest;
+    for (const auto& j : o.all) {
+      if (j.size < size[j.cls] || !o.possible(j)) continue;
+      ++possible;
+      Served& n = largest["largest of " + j.cls];
+      ++n.of;
+      n.begun += o.begun(j, kBegin);
+      if (o.begun(j, kBegin)) continue;
+      const wire::JobSpec& k = o.set.jobs().at(j.id).spec;
+      n.late += "\n" + j.id + " of " + j.team + ", band " +
+                std::to_string(static_cast<int>(k.priority)) + ", " + std::to_string(k.tasks) +
+                " of " + std::to_string(k.cpus) + (k.gang ? ", a gang" : "") +
+                (k.one_zone ? ", one zone" : "") + ", submitted at " + std::to_string(j.at) +
+                ", begun at " + std::to_string(o.set.begun_at(j.id));
+    }
+    expect_half(largest);
+  });
+  EXPECT_GT(possible, seeds * 3);
+}
+
 }  // namespace
 }  // namespace shunt::test
