--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMovesPerLook = 32;
 constexpr double kNoteGap = 0.3;  // between two looks at the guarantees
 // A machine has had room for something that waits for so long, and nothing has come of it.
-constexpr double kLeftOver = 45;
+constexpr double kLeftOver = 75;
 constexpr std::size_t kFillsPerLook = 4;  // machines: each looks at all that waits
 }  // namespace
 
