Questions about jobs that are over: ranges go on where the last one ended

Change: FinalReads reads ranges round and round. The bound of the generated test was two ranges for the first hundred records, by chance enough; it is one round and the end of the one under way now, tighter from 100 records on. The services' test rig moved to a file of its own, with a second of its life.

--- a/src/jobs/final_reads.cpp
+++ b/src/jobs/final_reads.cpp
@@ -23,14 +23,19 @@
 std::optional<FinalReads::Ask> FinalReads::next() {
   const bool many = waiting_.size() >= kRangeFrom;
   if (many ? range_out_ : single_.size() >= kSingles) return std::nullopt;
+  if (many) {
+    // Were each range to begin with the oldest question, one that went back a little each time
+    // would answer one question a read (docs/incidents/meetings-2.md).
+    auto at = waiting_.upper_bound(through_);
+    if (at == waiting_.end()) at = waiting_.begin();
+    range_out_ = true;
+    return Ask{at->first, true, ++ticket_};
+  }
   while (!order_.empty() && !waiting_.contains(order_.front())) order_.pop_front();
   for (const auto& id : order_) {
     if (!waiting_.contains(id) || single_.contains(id)) continue;
-    if (many)
-      range_out_ = true;
-    else
-      single_.insert(id);
-    return Ask{id, many, ++ticket_};
+    single_.insert(id);
+    return Ask{id, false, ++ticket_};
   }
   return std::nullopt;
 }
@@ -65,6 +70,7 @@
     for (auto at = waiting_.lower_bound(ask.id);
          at != waiting_.end() && (!more || (!found.empty() && at->first <= found.back())); ++at)
       ids.push_back(at->first);
+    through_ = more && !found.empty() ? found.back() : std::string();
     for (const auto& id : ids)
       settle(id, std::binary_search(found.begin(), found.end(), id), ask.ticket, calls);
   }
--- a/src/jobs/final_reads.h
+++ b/src/jobs/final_reads.h
@@ -1,6 +1,7 @@
-// Final records that answers wait for, read in order of age. One alone is read by its key; where
-// many wait, a range of keys answers hundreds at once, so that what waits is through within a few
-// reads however many jobs are over (docs/design.md, "Answers about jobs that are over"). Pure.
+// Final records that answers wait for. One alone is read by its key, in order of age; where many
+// wait, ranges of keys answer hundreds at once, each going on where the last one ended, round and
+// round: whoever waits is through within one round, whatever the order in which jobs are asked
+// about (docs/design.md, "Answers about jobs that are over"). Pure.
 #pragma once
 #include <cstdint>
 #include <deque>
@@ -53,6 +54,7 @@
   std::deque<std::string> order_;  // by age; may hold ids that do not wait any more
   std::set<std::string> single_;   // being read by themselves
   bool range_out_ = false;
+  std::string through_;  // the last record of the last range; empty: a new round begins
 };
 
 }  // namespace shunt::jobs
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -4,118 +4,11 @@
 #include <rapidcheck/gtest.h>
 
 #include "jobs/final_reads.h"
-#include "standins.h"
+#include "site.h"
 
 namespace shunt::test {
 namespace {
 
-using wire::Command;
-using wire::RunState;
-
-class Site {
- public:
-  config::Settings s = make_settings(1);
-  config::Tuning t;
-  fleet::Catalogue c = make_catalogue(s);
-  Store store;
-  state::World w{s};
-  std::unique_ptr<fleet::Desk> desk;
-  std::map<std::string, Worker> workers;
-  std::mt19937 rng{5};
-
-  Site() {
-    s.teams[0].cpus_max = config::team_limit(0);
-    s.report_s = 10;
-    s.lease_s = 45;
-    s.cancel_s = 75;
-    take(0);
-  }
-  void take(double now) {
-    store.commit(
-        {{}, {{state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", "x"}), 0}}});
-    read();
-    desk = std::make_unique<fleet::Desk>(s, t, c, 0, w.owner(0).stamp, now, 7);
-    for (const auto& [id, j] : w.jobs()) desk->job_added(j.record, 0, w.done(id), now, now);
-    for (const auto& [name, m] : w.machines()) desk->machine_known(m, now);
-    for (const auto& [k, sheet] : w.sheets(0)) desk->inherit(k, sheet, now);
-  }
-  void read() {
-    std::vector<state::Change> ch;
-    store.read(w, ch);
-  }
-  void machine(const std::string& name, double now, const std::string& zone = "a") {
-    wire::MachineRecord r{name, "t4", zone, false, 0, 0};
-    store.commit(roster_txn(w, {r}));
-    read();
-    desk->machine_known(r, now);
-    desk->machine_addr(name, "10.0.0.1:1");
-    Worker k;
-    k.name = name;
-    k.zone = zone;
-    k.last_ok = now;
-    workers[name] = k;
-    report(name, now);
-  }
-  wire::JobRecord job(int n, std::uint32_t tasks, double cpus, bool service, double now,
-                      std::optional<double> deadline_s = std::nullopt) {
-    auto r = make_job(n, tasks, cpus);
-    r.spec.service = service;
-    r.spec.spot = !service;
-    if (service) r.spec.priority = wire::Priority::critical;
-    r.spec.deadline_s = deadline_s;
-    r.spec.estimate_s = service ? 0 : 10;
-    r.submitted_at = now;
-    store.commit({{}, {{state::job_key(r.spec.id), wire::encode_record(r), 0}}});
-    read();
-    desk->job_added(r, 0, {}, now, now);
-    return r;
-  }
-  void commit(double now) {
-    desk->turn(now);
-    while (auto txn = desk->next_txn(w, state::Room{}, "t", now)) {
-      if (!store.commit(*txn)) return desk->txn_failed(now);
-      read();
-      desk->txn_applied(now);
-    }
-  }
-  // `deaf`: the answer does not get there.
-  fleet::Desk::Heard report(const std::string& name, double now, bool deaf = false) {
-    Worker& k = workers.at(name);
-    k.lease(now, s.lease_s);
-    auto r = k.report();
-    r.spot = false;
-    auto heard = desk->report(r, now);
-    if (heard != fleet::Desk::Heard::fresh) return heard;
-    commit(now);
-    auto commands = desk->orders(name, true, now);
-    if (!deaf) k.obey(desk->token(), commands, r.session, now, now, rng);
-    return heard;
-  }
-  void all_report(double now, const std::set<std::string>& but = {}) {
-    for (auto& [name, k] : workers)
-      if (!but.contains(name)) {
-        report(name, now);
-        report(name, now + 0.01);
-      }
-  }
-  // Of live tasks.
-  std::size_t on(const std::string& name) {
-    auto& tasks = workers.at(name).tasks;
-    return static_cast<std::size_t>(std::count_if(
-        tasks.begin(), tasks.end(), [](const auto& k) { return k.state != RunState::exited; }));
-  }
-  void end(const std::string& name, const std::string& job) {
-    for (auto& k : workers.at(name).tasks)
-      if (k.id.job == job) k.state = RunState::exited, k.why = wire::Why::done;
-  }
-  // Each is asked; the dead do not answer.
-  std::size_t probe(double now, const std::set<std::string>& dead) {
-    auto list = desk->probes(now);
-    for (const auto& p : list) desk->probed(p.machine, !dead.contains(p.machine), now + 0.1);
-    return list.size();
-  }
-};
-
 // When arrays were through, replicas stood on hundreds of machines, one or two on each, for as long
 // as their services ran.
 TEST(Packing, ReplicasOnNearlyEmptyMachinesAreMovedTogether) {
@@ -414,6 +307,34 @@
 
 // ---- answers about jobs that are over
 
+// Asked about in the worst order, the youngest first, each range held one question more and no
+// other: 1,000 questions took 1,000 reads.
+TEST(FinalReads, TheOrderOfTheQuestionsDoesNotMatter) {
+  using jobs::FinalReads;
+  for (const int step : {1, -1, 7, -7, 331}) {
+    SCOPED_TRACE(step);
+    FinalReads reads;
+    std::vector<std::string> all;
+    for (int i = 0; i < 1000; ++i) all.push_back("run-" + std::to_string(100000 + i));
+    int answers = 0, out = 0;
+    for (int i = 0, n = 0; i < 1000; ++i, n = (n + 1000 + step) % 1000)
+      ASSERT_TRUE(reads.want(all[static_cast<std::size_t>(n)],
+                             [&](jobs::Found f) { answers += f == jobs::Found::yes; }));
+    while (auto a = reads.next()) {
+      ++out;
+      if (!a->range) {
+        reads.answered(*a, {a->id}, false);
+        continue;
+      }
+      auto from = std::upper_bound(all.begin(), all.end(), FinalReads::before(a->id));
+      const auto held = std::min<std::ptrdiff_t>(100, all.end() - from);
+      reads.answered(*a, {from, from + held}, from + held != all.end());
+    }
+    EXPECT_EQ(answers, 1000);
+    EXPECT_LE(out, 11);
+  }
+}
+
 // Each question had a read of its own, served within three seconds or not at all: with thousands of
 // jobs over and many asked about, every answer came too late for its user.
 RC_GTEST_PROP(FinalReads, EveryQuestionIsAnsweredWithinFewReadsAndTruly, ()) {
@@ -471,7 +392,8 @@
     out.erase(out.begin());
     carry_out(a, seen);
   }
-  RC_ASSERT(rounds <= 7 + 2 * static_cast<int>(there.size() / 100 + 1) + 8);
+  // What was out, one round of ranges and the end of the one under way, and the last few singly.
+  RC_ASSERT(rounds <= 7 + static_cast<int>(there.size() / 100 + 3) + 7);
   for (const auto& q : all) {
     RC_ASSERT(q->answer.has_value());
     if (*q->answer == Found::yes) RC_ASSERT(there.contains(q->id));
--- /dev/null
+++ b/tests/site.h
@@ -0,0 +1,138 @@
+// One desk with its state service and its workers, on small cases: services beside arrays.
+#pragma once
+#include "standins.h"
+
+namespace shunt::test {
+
+using wire::Command;
+using wire::RunState;
+
+class Site {
+ public:
+  config::Settings s = make_settings(1);
+  config::Tuning t;
+  fleet::Catalogue c = make_catalogue(s);
+  Store store;
+  state::World w{s};
+  std::unique_ptr<fleet::Desk> desk;
+  std::map<std::string, Worker> workers;
+  std::mt19937 rng{5};
+
+  Site() {
+    s.teams[0].cpus_max = config::team_limit(0);
+    s.report_s = 10;
+    s.lease_s = 45;
+    s.cancel_s = 75;
+    take(0);
+  }
+  void take(double now) {
+    store.commit(
+        {{}, {{state::owner_key(0), wire::encode_record(wire::OwnerRecord{"node-0", "x"}), 0}}});
+    read();
+    desk = std::make_unique<fleet::Desk>(s, t, c, 0, w.owner(0).stamp, now, 7);
+    for (const auto& [id, j] : w.jobs()) desk->job_added(j.record, 0, w.done(id), now, now);
+    for (const auto& [name, m] : w.machines()) desk->machine_known(m, now);
+    for (const auto& [k, sheet] : w.sheets(0)) desk->inherit(k, sheet, now);
+  }
+  void read() {
+    std::vector<state::Change> ch;
+    store.read(w, ch);
+  }
+  void machine(const std::string& name, double now, const std::string& zone = "a") {
+    wire::MachineRecord r{name, "t4", zone, false, 0, 0};
+    store.commit(roster_txn(w, {r}));
+    read();
+    desk->machine_known(r, now);
+    desk->machine_addr(name, "10.0.0.1:1");
+    Worker k;
+    k.name = name;
+    k.zone = zone;
+    k.last_ok = now;
+    workers[name] = k;
+    report(name, now);
+  }
+  wire::JobRecord job(int n, std::uint32_t tasks, double cpus, bool service, double now,
+                      std::optional<double> deadline_s = std::nullopt) {
+    auto r = make_job(n, tasks, cpus);
+    r.spec.service = service;
+    r.spec.spot = !service;
+    if (service) r.spec.priority = wire::Priority::critical;
+    r.spec.deadline_s = deadline_s;
+    r.spec.estimate_s = service ? 0 : 10;
+    return submit(std::move(r), now);
+  }
+  wire::JobRecord submit(wire::JobRecord r, double now) {
+    r.submitted_at = now;
+    store.commit({{}, {{state::job_key(r.spec.id), wire::encode_record(r), 0}}});
+    read();
+    desk->job_added(r, 0, {}, now, now);
+    return r;
+  }
+  void commit(double now) {
+    desk->turn(now);
+    while (auto txn = desk->next_txn(w, state::Room{}, "t", now)) {
+      if (!store.commit(*txn)) return desk->txn_failed(now);
+      read();
+      desk->txn_applied(now);
+    }
+  }
+  // `deaf`: the answer does not get there.
+  fleet::Desk::Heard report(const std::string& name, double now, bool deaf = false) {
+    Worker& k = workers.at(name);
+    k.lease(now, s.lease_s);
+    auto r = k.report();
+    r.spot = false;
+    auto heard = desk->report(r, now);
+    if (heard != fleet::Desk::Heard::fresh) return heard;
+    commit(now);
+    auto commands = desk->orders(name, true, now);
+    if (!deaf) k.obey(desk->token(), commands, r.session, now, now, rng);
+    return heard;
+  }
+  void all_report(double now, const std::set<std::string>& but = {}) {
+    for (auto& [name, k] : workers)
+      if (!but.contains(name)) {
+        report(name, now);
+        report(name, now + 0.01);
+      }
+  }
+  // Of live tasks.
+  std::size_t on(const std::string& name) {
+    auto& tasks = workers.at(name).tasks;
+    return static_cast<std::size_t>(std::count_if(
+        tasks.begin(), tasks.end(), [](const auto& k) { return k.state != RunState::exited; }));
+  }
+  // A task of the job is on some machine, or has been.
+  bool begun(const std::string& job) {
+    if (!w.job(job)) return true;  // it is over
+    for (const auto& [name, k] : workers)
+      for (const auto& task : k.tasks)
+        if (task.id.job == job && task.why != wire::Why::busy) return true;
+    return false;
+  }
+  // A second in which tasks end by themselves, all machines report, and the cloud has none to give.
+  void second(double now) {
+    for (auto& [name, k] : workers)
+      for (auto& task : k.tasks) {
+        const auto* j = w.job(task.id.job);
+        if (task.state == RunState::running && task.ends <= now && !(j && j->record.spec.service))
+          task.state = RunState::exited, task.why = wire::Why::done;
+      }
+    all_report(now);
+    desk->tick(now);
+    commit(now);
+    for (const auto& r : desk->rent_wishes(now)) desk->refused(r, 0, true, now);
+  }
+  void end(const std::string& name, const std::string& job) {
+    for (auto& k : workers.at(name).tasks)
+      if (k.id.job == job) k.state = RunState::exited, k.why = wire::Why::done;
+  }
+  // Each is asked; the dead do not answer.
+  std::size_t probe(double now, const std::set<std::string>& dead) {
+    auto list = desk->probes(now);
+    for (const auto& p : list) desk->probed(p.machine, !dead.contains(p.machine), now + 0.1);
+    return list.size();
+  }
+};
+
+}  // namespace shunt::test
