Machines change shards in whole ones that bring all nearer to their shares

Cause: shares rounded down giver by giver left a shard with work and no machine for 190 s beside three that had half of one too many; and a promise was not counted by the other owners. Change: shard::gifts brings fractions together as long as that is worth a machine; a shard with work and no machine gets one, nobody with work gives the last one; what is promised counts until it has gone.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -258,7 +258,7 @@
   shard::Load out;
   if (common_.catalogue.empty()) return out;
   const Amount one = common_.catalogue.types[0].room;
-  out.capacity = machines_.capacity();
+  out.capacity = machines_.capacity() + machines_.pledged();
   const auto& teams = common_.settings.teams;
   std::vector<double> machines(teams.size(), 0), cpus(teams.size(), 0);
   for (const auto& [id, j] : common_.jobs) {
--- a/src/front/peers.cpp
+++ b/src/front/peers.cpp
@@ -97,11 +97,10 @@
     const fleet::Desk* desk = parts_.runner(k).desk();
     if (!desk || now < gave_at_[k] + kGiveGap) continue;
     gave_at_[k] = now;
-    // What is marked to go already is part of what there is to give.
-    auto loads = all;
+    // What is marked to go already is part of what there is to give, in every owner's eyes: else
+    // each would see less than there is, and promise once more what another has promised.
     const double pledged = desk->pledged();
-    loads[static_cast<std::size_t>(k)].capacity += pledged;
-    auto gifts = shard::gifts(loads, k);
+    auto gifts = shard::gifts(all, k);
     for (int to = 0; to < parts_.settings.shards(); ++to)
       if (const int n = gifts[static_cast<std::size_t>(to)]; to != k && (n > 0 || pledged > 0))
         parts_.runner(k).give({to, static_cast<double>(n), waiting(to)});
--- a/src/shard/balance.h
+++ b/src/shard/balance.h
@@ -7,7 +7,7 @@
 
 // In machines.
 struct Load {
-  double capacity = 0;  // up or booting, and staying
+  double capacity = 0;  // up or booting, and staying; what is promised, until it has gone
   double entitled = 0;  // what its teams' unfinished work needs, within their guarantees
   double demand = 0;    // the same, within their limits
 };
@@ -16,7 +16,10 @@
 // work lacks it; else guarantees come first, and the rest goes by what is asked beyond them.
 std::vector<double> targets(const std::vector<Load>& loads);
 
-// How many machines `from` should send to each other shard.
+// How many machines `from` should send to each other shard. Fractions of what is lacking and of
+// what is beyond a share are brought together in whole machines, as long as that brings all nearer
+// to their goals; a shard with work and no machine at all gets one from whoever has most to spare,
+// and nobody with work gives the last one.
 std::vector<int> gifts(const std::vector<Load>& loads, int from);
 
 }  // namespace shunt::shard
