A large task whose job has waited for long gets a machine, or its team's limit, reserved

Cause: small tasks take room and limits bit by bit as they come free, and a replica on each machine kept tasks of a whole machine from all of them: critical ones began after 250 to 310 s. Change: Waiting::reserve (docs/design.md, X14). No reservations, no limit kept free, replicas that stay, reservations without end: Reservations.* fail.

--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -211,6 +211,7 @@
   if (now - moved_on_at_ >= kLookAgain) {
     moved_on_at_ = now;
     waiting_.move_on(now);
+    waiting_.reserve(now);
     waiting_.fill_left_over(now);
   }
   const bool hear = now - last_heard_ < 2 * common_.settings.report_s;
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -332,7 +332,7 @@
   auto useful = [&](const Machine& m) { return gift.useful[static_cast<std::size_t>(m.tier())]; };
   for (auto& [n, m] : all_) {
     if (m->state != Machine::up || !m->rostered || m->leaving || m->draining || m->type < 0 ||
-        units(*m) > left + 1e-9 || useful(*m) <= 0)
+        units(*m) > left + 1e-9 || useful(*m) <= 0 || m->queue.reserved)
       continue;
     if (std::none_of(m->placed.list.begin(), m->placed.list.end(),
                      [](const Placement& p) { return p.job->spec.service && !p.released; }))
--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -28,7 +28,8 @@
       machines_(machines),
       placements_(placements),
       rng_(seed),
-      waiting_(common.settings.teams.size()) {}
+      waiting_(common.settings.teams.size()),
+      saved_(common.settings.teams.size()) {}
 
 // Urgent and guaranteed work is served first come, first served; the rest by when it should start.
 bool Waiting::ranked(int band) { return band > Job::kGuaranteed; }
@@ -41,13 +42,18 @@
   return ms << 24 | (n & 0xffffff);
 }
 
-bool Waiting::quota_ok(const Job& j, bool with_waiting) const {
+bool Waiting::within_limit(const Job& j, const Amount& beside) const {
   const auto& t = common_.settings.teams[j.team];
   Amount limit = Amount::of(t.cpus_max, t.gpus_max, 0);
-  Amount sum = placements_.used(j.team) + j.need;
-  if (with_waiting) sum += waiting_[j.team];
+  Amount sum = placements_.used(j.team) + j.need + beside;
   return sum.cpus <= limit.cpus && sum.gpus <= limit.gpus;
 }
+bool Waiting::quota_ok(const Job& j, bool with_waiting) const {
+  Amount beside;
+  if (with_waiting) beside += waiting_[j.team];
+  if (const auto& s = saved_[j.team].job; s && s.get() != &j) beside += s->need;
+  return within_limit(j, beside);
+}
 
 // ---- lists
 
@@ -114,6 +120,17 @@
   machines_.note_idle(m, 0);
 }
 
+std::vector<Item>::iterator Waiting::item_at(Machine& m, const Key& key) {
+  return std::find_if(m.queue.items.begin(), m.queue.items.end(),
+                      [&](const Item& i) { return i.key() == key; });
+}
+Item Waiting::take_off(Machine& m, std::vector<Item>::iterator item) {
+  Item out = std::move(*item);
+  m.queue.items.erase(item);
+  listed(m, out, false);
+  return out;
+}
+
 // ---- the chain
 
 // Where the task may go: at machines with room only, or at every machine.
@@ -177,6 +194,7 @@
 // what it has `seen`.
 std::optional<chain::Seat> Waiting::seat(const Machine& m, const Look& look,
                                          chain::Kinds* seen) const {
+  if (reserved(m)) return std::nullopt;
   // Accept is split by band (paper 3.1, query scheduling): a task joins the list of its job's band,
   // and only what is ahead of it there counts.
   const bool has_room = look.job.need.fits(machines_.room(m, look.band));
@@ -347,25 +365,24 @@
 
 // A task is accepted by a full machine when the cloud has nothing to give. Where replicas have
 // filled it, no report would ever show room, and the task stood there for good though machines
-// could be had again (docs/design.md, X12).
+// could be had again (docs/design.md, X12). Nor does a task wait for longer than its patience on
+// any list while a machine can be had: the room that others' ends would give it may go to others.
 void Waiting::move_on(double now) {
   std::vector<std::pair<Key, int>> found;
   for (const auto& [n, m] : machines_.all()) {
     if (m->state != Machine::up || m->type < 0) continue;
     for (const Item& i : m->queue.items)
-      if (found.size() < kMovesPerLook && in_vain(*m, i)) found.emplace_back(i.key(), n);
+      if (found.size() < kMovesPerLook && m->queue.reserved != i.key() && in_vain(*m, i))
+        found.emplace_back(i.key(), n);
   }
   std::sort(found.begin(), found.end());
   for (const auto& [key, n] : found) {
     Machine& from = *machines_.at(n);
-    auto it = std::find_if(from.queue.items.begin(), from.queue.items.end(),
-                           [&, k = key](const Item& i) { return i.key() == k; });
+    auto it = item_at(from, key);
     if (!quota_ok(*it->job, false)) continue;
     for (const chain::Tier& t : ways(*it, false, now)) {
       if (t.end.kind == chain::TierEnd::none) continue;
-      Item item = std::move(*it);
-      from.queue.items.erase(it);
-      listed(from, item, false);
+      Item item = take_off(from, it);
       item.trail.clear();  // what it passed through is not what it costs now
       item.rented = t.end.kind == chain::TierEnd::rent;
       const int zone = item.rented ? machines_.pick_zone(*item.job, t.id, now) : -1;
@@ -400,7 +417,7 @@
       since = -1;
     } else if (since < 0) {
       since = now;
-    } else if (now - since >= kLeftOver && fills < kFillsPerLook) {
+    } else if (now - since >= kLeftOver && fills < kFillsPerLook && !reserved(*m)) {
       since = now;
       ++fills;
       fill(*m, now);
@@ -421,13 +438,9 @@
   for (auto next = all_.begin(); next != all_.end() && any_fits(machines_.room(m));) {
     const auto [key, number] = *next++;
     Machine& from = *machines_.at(number);
-    auto it = std::find_if(from.queue.items.begin(), from.queue.items.end(),
-                           [&, k = key](const Item& i) { return i.key() == k; });
+    auto it = item_at(from, key);
     if (!takes(*it->job, it->task, key.first)) continue;
-    Item item = std::move(*it);
-    from.queue.items.erase(it);
-    listed(from, item, false);
-    put(std::move(item));
+    put(take_off(from, it));
     machines_.note_idle(from, now);
   }
   for (const JobPtr& j : pending(now))
@@ -451,26 +464,25 @@
     Item& it = m.queue.items[i];
     Job& j = *it.job;
     if (up_to && it.key() > *up_to) break;
+    if (reserved_for_other(m, it)) {
+      ++i;
+      continue;
+    }
     if (!machines_.usable(m, j, now)) {
       // Its job's other tasks have bound it to another zone since it joined.
-      Item back = std::move(it);
-      m.queue.items.erase(m.queue.items.begin() + static_cast<long>(i));
-      listed(m, back, false);
+      Item back = take_off(m, m.queue.items.begin() + static_cast<long>(i));
       common_.requeue(back.job, back.task);
       continue;
     }
     // Counted again at the last moment, over every recorded placement: the limit is a rule.
     // The list is first come, first served to the letter: small tasks that slipped past a large
     // one would keep it waiting for as long as they keep coming.
-    if (!j.need.fits(machines_.room(m, it.band))) break;
+    if (!j.need.fits(reserved(m) ? machines_.room(m) : machines_.room(m, it.band))) break;
     if (!quota_ok(j, false) || (j.spec.gang && j.in_round.contains(it.task))) {
       ++i;
       continue;
     }
-    Item next = std::move(it);
-    m.queue.items.erase(m.queue.items.begin() + static_cast<long>(i));
-    listed(m, next, false);
-    placements_.place(m, std::move(next));
+    placements_.place(m, take_off(m, m.queue.items.begin() + static_cast<long>(i)));
   }
   machines_.note_idle(m, now);
 }
@@ -490,7 +502,7 @@
   };
   for (const Item& i : m.queue.items) {
     if (i.band > Job::kGuaranteed) break;
-    if (!quota_ok(*i.job, false)) continue;
+    if (!quota_ok(*i.job, false) || reserved_for_other(m, i)) continue;
     const bool guaranteed = i.band == Job::kGuaranteed;
     std::vector<Placement*> victims;
     for (Placement& p : m.placed.list) {
@@ -523,7 +535,7 @@
 // Before the machine's own list is through, only more urgent ones do: else room would go to low
 // work here while urgent tasks wait on machines that are full.
 void Waiting::pull(Machine& m, double now) {
-  if (!m.open(now) || !m.rostered || !any_fits(machines_.room(m))) return;
+  if (!m.open(now) || !m.rostered || reserved(m) || !any_fits(machines_.room(m))) return;
   std::size_t walks = 0;
   const Job* misfit = nullptr;  // the same job's next task would not fit either
   auto next = all_.begin();
@@ -536,17 +548,14 @@
     }
     Machine* from = machines_.at(number);
     if (!from || from == &m) continue;
-    auto it = std::find_if(from->queue.items.begin(), from->queue.items.end(),
-                           [&](const Item& i) { return i.key() == key; });
+    auto it = item_at(*from, key);
     if (it == from->queue.items.end() || it->job.get() == misfit) continue;
     if (!it->job->need.fits(machines_.room(m, key.first)) || !machines_.usable(m, *it->job, now)) {
       misfit = it->job.get();
       continue;
     }
     ++walks;
-    Item item = std::move(*it);
-    from->queue.items.erase(it);
-    listed(*from, item, false);
+    Item item = take_off(*from, it);
     item.trail.clear();
     item.rented = false;
     JobPtr j = item.job;
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -23,6 +23,10 @@
   // Tasks that wait where only a replica's end could give them room go to a tier's end, if one of
   // theirs has any: nobody knows when a service ends.
   void move_on(double now);
+  // Large tasks of jobs that have waited for long without beginning get a machine, or their team's
+  // limit, kept free for them: as the reservations of schedulers that backfill (docs/design.md,
+  // X14).
+  void reserve(double now);
   // A machine that has had room beside what waits for a good while gets whatever fits.
   void fill_left_over(double now);
   // A machine reports room, or has been given some: its list is served, and urgent tasks that wait
@@ -38,6 +42,14 @@
 
  private:
   bool in_vain(const Machine& m, const Item& i) const;
+  bool reserved(const Machine& m) const;
+  bool reserved_for_other(const Machine& m, const Item& i) const {
+    return reserved(m) && *m.queue.reserved != i.key();
+  }
+  std::vector<jobs::JobPtr> overdue(double now) const;
+  void save_limit(const jobs::JobPtr& j, double now);
+  double clear_in(const Machine& m, const jobs::Job& j, double now) const;
+  void reserve(Machine& m, const jobs::JobPtr& j, double now);
   std::vector<jobs::JobPtr> pending(double now) const;
   Item first_pending(const jobs::JobPtr& j, double now);
   void fill(Machine& m, double now);
@@ -59,12 +71,15 @@
   void add_last(chain::Tier& t, const Look& look) const;
   std::optional<chain::Seat> seat(const Machine& m, const Look& look, chain::Kinds* seen) const;
   void join(Machine& m, Item item);
+  static std::vector<Item>::iterator item_at(Machine& m, const Key& key);  // end: not on its list
+  Item take_off(Machine& m, std::vector<Item>::iterator item);
   void plan(Machine& m, double now, std::optional<Key> up_to = std::nullopt);
   void preempt(Machine& m, double now);
   void pull(Machine& m, double now);
   void note_guarantees();
   void listed(Machine& m, const Item& i, bool yes);  // keeps the counts of waiting tasks
   bool quota_ok(const jobs::Job& j, bool with_waiting) const;
+  bool within_limit(const jobs::Job& j, const jobs::Amount& beside) const;
   static bool ranked(int band);
   std::uint64_t place_of(const jobs::Job& j, int band);  // among those of its band
 
@@ -74,6 +89,12 @@
   chain::Rng rng_;
   std::uint64_t next_order_ = 0;
   std::vector<jobs::Amount> waiting_;  // by team
+  // By team: the job for whose next task its limit is kept free, and since when.
+  struct Saved {
+    jobs::JobPtr job;
+    double at = -1e9;
+  };
+  std::vector<Saved> saved_;
   // What waits, by what a task needs: a machine whose room none of it fits is not offered around.
   using Need = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
   std::map<Need, std::size_t> needs_;
