A task that has waited for a minute on a list gets a machine rented, where one can be had

Cause: a task that a machine's list had accepted waited there for minutes while the cloud had machines.

--- a/src/fleet/waiting.cpp
+++ b/src/fleet/waiting.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kPullsPerReport = 32;
 constexpr std::size_t kMovesPerLook = 32;
 constexpr double kNoteGap = 0.3;  // between two looks at the guarantees
+constexpr double kPatience = 60;  // of a task on a list, where a machine can be had
 // A machine has had room for something that waits for so long, and nothing has come of it.
 constexpr double kLeftOver = 75;
 constexpr std::size_t kFillsPerLook = 4;  // machines: each looks at all that waits
@@ -372,7 +373,8 @@
   for (const auto& [n, m] : machines_.all()) {
     if (m->state != Machine::up || m->type < 0) continue;
     for (const Item& i : m->queue.items)
-      if (found.size() < kMovesPerLook && m->queue.reserved != i.key() && in_vain(*m, i))
+      if (found.size() < kMovesPerLook && m->queue.reserved != i.key() &&
+          (now - i.since > kPatience || in_vain(*m, i)))
         found.emplace_back(i.key(), n);
   }
   std::sort(found.begin(), found.end());
