--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -116,8 +116,8 @@
 void Desk::refused(const RentWish& w, std::size_t from, bool no_capacity, double now) {
   for (int n : machines_.refused(w, from, no_capacity, now)) remove_machine(n, now);
 }
-void Desk::give(const Gift& gift, double now) {
-  for (Machine* m : machines_.give(gift, now)) waiting_.empty(*m);
+void Desk::give(const Gift& gift) {
+  for (Machine* m : machines_.give(gift)) waiting_.empty(*m);
 }
 
 void Desk::lose(Machine& m) {
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -110,7 +110,7 @@
   // What this shard has, is entitled to and could use.
   shard::Load load(double now) const;
   // Another shard lacks machines.
-  void give(const Gift& gift, double now);
+  void give(const Gift& gift);
   double pledged() const { return machines_.pledged(); }
   std::size_t machine_count() const { return machines_.named(); }
   const Counters& counters() const { return common_.count; }
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -1,7 +1,6 @@
 #include "fleet/machines.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace shunt::fleet {
@@ -10,17 +9,12 @@
 using jobs::Job;
 
 namespace {
-constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr std::size_t kImagesKept = 8;  // where a type does not tell its cache
 constexpr double kRefusedFor = 15;      // before asking again where the cloud had none
 constexpr std::size_t kRentMost = 50;   // machines a request
 constexpr std::size_t kGrantLeast = 2;  // machines ordered where the cloud has refused; grows
 constexpr std::size_t kFaulty = 2;      // jobs that a machine at fault has failed
 constexpr double kFaultPause = 5;       // before a machine that failed a task gets another
-constexpr double kEmptyWithin = 75;     // by estimates, for a machine to be promised
-constexpr double kPromisedFor = 80;     // what is not empty by then takes work again
-constexpr double kPromisePause = 30;    // before it is promised again
-constexpr double kLeastLeft = 5;        // of a task that runs for longer than was estimated
 }  // namespace
 
 double share_of(const Amount& a, const Amount& one) {
@@ -322,62 +316,36 @@
   common_.stirred = true;
 }
 
-double Machines::room_in(const Machine& m, const Amount& need, double replica_s, double now) const {
-  Amount free = room(m);
-  if (need.fits(free)) return 0;
-  std::vector<std::pair<double, Amount>> ends;
-  for (const Placement& p : m.placed.list) {
-    if (p.released) continue;
-    const double run = p.job->spec.estimate_s;
-    const double left = p.job->spec.service ? replica_s
-                        : p.started > 0     ? std::max(kLeastLeft, run - (now - p.started))
-                                            : run;
-    ends.emplace_back(left, p.job->need);
-  }
-  std::sort(ends.begin(), ends.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [left, freed] : ends) {
-    free += freed;
-    if (need.fits(free)) return left;
-  }
-  return kNever;
-}
-
-// Idle ones at once, then those that are empty soonest, as soon as their tasks are over: work
-// spread thinly over a surplus would leave hardly any machine idle. A machine with a replica is not
-// promised: it would stand half empty for as long as the service runs; nor one with long tasks,
-// beside whose room work waited for minutes. Those that take most of what waits there go first.
-std::vector<Machine*> Machines::give(const Gift& gift, double now) {
+// Idle ones at once, then the emptiest ones as soon as their tasks are over: work spread thinly
+// over a surplus would leave hardly any machine idle. A machine with a replica is not promised: it
+// would stand half empty for as long as the service runs. Those that take most of what waits there
+// go first.
+std::vector<Machine*> Machines::give(const Gift& gift) {
   double left = gift.amount;
-  std::vector<Machine*> out;
-  std::vector<std::pair<double, Machine*>> mine;  // by when it is empty
+  std::vector<Machine*> out, mine;
   auto units = [&](const Machine& m) { return common_.catalogue.units(m.type); };
   for (auto& [n, m] : all_) {
     if (m->giving != gift.to || m->type < 0) continue;
-    const bool wanted = left >= units(*m);
-    if (!wanted || now - m->promised_at > kPromisedFor) keep(*m);
-    if (!wanted && m->giving < 0) m->promised_at = -1e9;
+    if (left < units(*m)) keep(*m);
     if (m->giving == gift.to) left -= units(*m);
   }
   auto useful = [&](const Machine& m) { return gift.useful[static_cast<std::size_t>(m.tier())]; };
   for (auto& [n, m] : all_) {
     if (m->state != Machine::up || !m->rostered || m->leaving || m->draining || m->type < 0 ||
-        units(*m) > left + 1e-9 || useful(*m) <= 0 || m->queue.reserved ||
-        now - m->promised_at < kPromisedFor + kPromisePause)
+        units(*m) > left + 1e-9 || useful(*m) <= 0 || m->queue.reserved)
       continue;
-    const double in = room_in(*m, common_.catalogue.types[m->type].room, kNever, now);
-    if (in <= kEmptyWithin) mine.emplace_back(in, m.get());
+    if (std::none_of(m->placed.list.begin(), m->placed.list.end(),
+                     [](const Placement& p) { return p.job->spec.service && !p.released; }))
+      mine.push_back(m.get());
   }
-  auto rank = [&](const std::pair<double, Machine*>& x) {
-    return std::tuple(!x.second->was_idle, x.first, -useful(*x.second));
-  };
-  std::stable_sort(mine.begin(), mine.end(),
-                   [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
-  for (const auto& [in, m] : mine) {
+  std::stable_sort(mine.begin(), mine.end(), [&](const Machine* a, const Machine* b) {
+    return std::tuple(!a->was_idle, a->placed.used.cpus, -useful(*a)) <
+           std::tuple(!b->was_idle, b->placed.used.cpus, -useful(*b));
+  });
+  for (Machine* m : mine) {
     if (units(*m) > left + 1e-9) continue;
     m->leaving = true;
     m->giving = gift.to;
-    m->promised_at = now;
     left -= units(*m);
     out.push_back(m);
   }
--- a/src/fleet/machines.h
+++ b/src/fleet/machines.h
@@ -36,9 +36,8 @@
   bool posted = false;    // ordered: the request is out
   bool rostered = false;  // the roster holds it: only then may anything be placed on it
   bool returning = false;
-  int giving = -1;            // the shard that it goes to once it is empty
-  double promised_at = -1e9;  // and since when
-  bool lost = false;          // not coming back: its tasks are not waited for
+  int giving = -1;    // the shard that it goes to once it is empty
+  bool lost = false;  // not coming back: its tasks are not waited for
   std::optional<double> notice_s;
   double rented_at = 0, last_report = 0, last_answer = 0, idle_since = 0;
   double newest_at = -1e9;  // when what was heard last came
@@ -134,12 +133,7 @@
 
   // Machines that another shard lacks, marked to go there once they are empty: so much in all, what
   // is marked already included. What is marked beyond that stays, unless it is empty already.
-  // Only what is likely to be empty soon is marked, and not for long: nothing is placed on it
-  // meanwhile, however much waits here.
-  std::vector<Machine*> give(const Gift& gift, double now);
-  // Seconds until the machine has room for this, if nothing more begins there: by estimates, and
-  // for each replica as if it ended after `replica_s`. Infinite: never.
-  double room_in(const Machine& m, const jobs::Amount& need, double replica_s, double now) const;
+  std::vector<Machine*> give(const Gift& gift);
   double pledged() const;  // marked to go, in machines of the first type
   using Asked = std::function<bool(const std::string& machine, RosterWish::Kind, int shard)>;
   std::vector<RosterWish> roster_wishes(std::uint64_t token, const Asked& asked) const;
--- a/src/fleet/reservations.cpp
+++ b/src/fleet/reservations.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kOneIn = 32;  // of a shard's machines is reserved at a time, but one at least
 constexpr std::size_t kUrgentOneIn = 3;  // for urgent work
 constexpr double kMovesReplica = 20;     // a machine with a replica, which has to move, comes later
+constexpr double kLeastLeft = 5;         // of a task that runs for longer than was estimated
 bool urgent(const Job& j) { return j.band() < Job::kGuaranteed; }
 }  // namespace
 
@@ -63,6 +64,28 @@
   if (!s.job && now - s.at > kHeldFor + kPause) s = {j, now};
 }
 
+// Seconds until the machine has room for one task, if nothing more begins there. Infinite: never.
+double Waiting::clear_in(const Machine& m, const Job& j, double now) const {
+  Amount room = machines_.room(m);
+  if (j.need.fits(room)) return 0;
+  std::vector<std::pair<double, Amount>> ends;
+  for (const Placement& p : m.placed.list) {
+    if (p.released) continue;
+    const double run = p.job->spec.estimate_s;
+    const double left = p.job->spec.service ? kMovesReplica
+                        : p.started > 0     ? std::max(kLeastLeft, run - (now - p.started))
+                                            : run;
+    ends.emplace_back(left, p.job->need);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [left, need] : ends) {
+    room += need;
+    if (j.need.fits(room)) return left;
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
 void Waiting::reserve(Machine& m, const JobPtr& j, double now) {
   Item item;
   if (j->pending.empty()) {
@@ -121,7 +144,7 @@
           (m->queue.left_over_since >= 0 && now - m->queue.left_over_since > kRoomBeside) ||
           share_of(j->need, common_.catalogue.types[m->type].room) < kLarge)
         continue;
-      const double in = machines_.room_in(*m, j->need, kMovesReplica, now);
+      const double in = clear_in(*m, *j, now);
       if (in < soonest) soonest = in, best = m.get();
     }
     if (!best) continue;
--- a/src/fleet/waiting.h
+++ b/src/fleet/waiting.h
@@ -48,6 +48,7 @@
   }
   std::vector<jobs::JobPtr> overdue(double now) const;
   void save_limit(const jobs::JobPtr& j, double now);
+  double clear_in(const Machine& m, const jobs::Job& j, double now) const;
   void reserve(Machine& m, const jobs::JobPtr& j, double now);
   std::vector<jobs::JobPtr> pending(double now) const;
   Item first_pending(const jobs::JobPtr& j, double now);
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -43,7 +43,7 @@
 }
 void Runner::give(fleet::Gift gift) {
   post([this, gift = std::move(gift)] {
-    if (desk_) desk_->give(gift, loop_.now());
+    if (desk_) desk_->give(gift);
     stir();
   });
 }
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -513,7 +513,7 @@
   d.job(make_job(1, 1, 1));
   d.beat("m-1", 1);
   d.beat("m-2", 1);
-  d.desk->give({5, 1, {1, 1}}, 1);
+  d.desk->give({5, 1, {1, 1}});
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].kind, fleet::RosterWish::give);
@@ -534,7 +534,7 @@
   OneDesk d;
   d.machine("m-1");
   d.beat("m-1", 1);
-  d.desk->give({5, 1, {1, 1}}, 1);
+  d.desk->give({5, 1, {1, 1}});
   EXPECT_EQ(d.desk->roster_wishes().size(), 1u);
   EXPECT_EQ(d.desk->gives("m-1"), 5);
   EXPECT_EQ(d.desk->gives("m-2"), -1);
@@ -550,7 +550,7 @@
   EXPECT_EQ(d.desk->gives("m-1"), -1);
   d.job(make_job(1, 1, 1));
   d.beat("m-1", 2);
-  d.desk->give({5, 1, {1, 1}}, 2);  // marked, but not empty
+  d.desk->give({5, 1, {1, 1}});  // marked, but not empty
   EXPECT_EQ(d.desk->gives("m-1"), -1);
 }
 
@@ -569,22 +569,22 @@
   auto array = make_job(2, 1, 4);
   d.job(array);
   d.commit(2);
-  d.desk->give({5, 2, {1, 1}}, 2);
+  d.desk->give({5, 2, {1, 1}});
   EXPECT_EQ(d.desk->pledged(), 1);  // m-2 alone, once its task is over
   // Until then it counts here: else every other owner would see one less than there is.
   EXPECT_EQ(d.desk->load(2).capacity, 2);
-  d.desk->give({5, 0, {1, 1}}, 2);
+  d.desk->give({5, 0, {1, 1}});
   EXPECT_EQ(d.desk->pledged(), 0);
   EXPECT_EQ(d.desk->load(2).capacity, 2);
   // What nothing there could use is not given.
   d.machine("m-3");
   d.beat("m-3", 3);
-  d.desk->give({5, 1, {0, 0}}, 3);
+  d.desk->give({5, 1, {0, 0}});
   EXPECT_EQ(d.desk->pledged(), 0);
   // An empty one may be on its way already: it is not taken back.
-  d.desk->give({5, 1, {1, 1}}, 3);
+  d.desk->give({5, 1, {1, 1}});
   EXPECT_EQ(d.desk->gives("m-3"), 5);
-  d.desk->give({5, 0, {1, 1}}, 3);
+  d.desk->give({5, 0, {1, 1}});
   EXPECT_EQ(d.desk->gives("m-3"), 5);
   EXPECT_EQ(d.desk->load(3).capacity, 3);
   d.desk->machine_moved("m-3", 4);
@@ -592,45 +592,6 @@
   EXPECT_EQ(d.desk->pledged(), 0);
 }
 
-// A promised machine was closed to new work for as long as its last task ran: a shard with hundreds
-// of waiting tasks kept two machines half empty for minutes. What runs for long is not promised,
-// and what runs for longer than was estimated takes the promise back.
-TEST(Desk, APromiseDoesNotKeepRoomFromWaitingWorkForLong) {
-  OneDesk d;
-  auto with_estimate = [](int n, double cpus, double estimate_s) {
-    auto r = make_job(n, 1, cpus);
-    r.spec.estimate_s = estimate_s;
-    return r;
-  };
-  auto run = [&](const std::string& machine, const wire::JobRecord& r, double now) {
-    d.job(r);
-    std::vector<wire::TaskReport> there;
-    for (const auto& c : d.beat(machine, now))
-      there.push_back({c.task, c.attempt, wire::RunState::running, wire::Why::none});
-    d.beat(machine, now, there);
-    return there;
-  };
-  d.machine("m-1");
-  const auto first = run("m-1", with_estimate(1, 3, 200), 1);
-  ASSERT_EQ(first.size(), 1u);
-  d.machine("m-2");
-  auto there = run("m-2", with_estimate(2, 2, 20), 1);
-  ASSERT_EQ(there.size(), 1u);
-  d.desk->give({5, 2, {1, 1}}, 2);
-  EXPECT_EQ(d.desk->pledged(), 1);  // m-2
-  d.job(with_estimate(3, 2, 20));
-  double begun = -1;
-  for (double now = 3; now < 200 && begun < 0; ++now) {
-    d.desk->tick(now);
-    if (static_cast<int>(now) % 3 == 0) d.desk->give({5, 2, {1, 1}}, now);
-    d.beat("m-1", now, first);
-    for (const auto& c : d.beat("m-2", now, there))
-      if (c.op == wire::Command::Op::start) begun = now;
-  }
-  EXPECT_GT(begun, 60);
-  EXPECT_LT(begun, 90);
-}
-
 // Gifts were counted in machines: eight of the largest went for what two would have done.
 TEST(Desk, GiftsAreCountedInWhatFitsNotInMachines) {
   OneDesk d;
@@ -654,9 +615,9 @@
     d.desk->report(r, 1);
   }
   EXPECT_EQ(d.desk->load(1).capacity, 13);
-  d.desk->give({5, 3, {1, 1, 1, 1}}, 1);
+  d.desk->give({5, 3, {1, 1, 1, 1}});
   EXPECT_EQ(d.desk->pledged(), 1);
-  d.desk->give({5, 9, {1, 1, 1, 1}}, 1);
+  d.desk->give({5, 9, {1, 1, 1, 1}});
   EXPECT_EQ(d.desk->pledged(), 9);
 }
 
@@ -830,7 +791,7 @@
   d.beat("m-1", 1);
   d.job(make_job(1, 2, 1));
   d.commit(2);
-  d.desk->give({1, 1, {1, 1}}, 1);
+  d.desk->give({1, 1, {1, 1}});
   EXPECT_TRUE(d.beat("m-1", 3).empty());
   auto wishes = d.desk->roster_wishes();
   ASSERT_EQ(wishes.size(), 1u);
