Emulated state service: a watch's time-out does not swallow a lease's end

Symptom: of a simulated cluster, nobody took the shard of a leader that was cut off, until that leader was back: the other controller's cache had the revision of the node key's end and the key itself. Cause: the end of a lease is told to watchers a turn later, and a watch that timed out in the same tick was answered with the new revision and no events.

--- a/src/emulators/state.cpp
+++ b/src/emulators/state.cpp
@@ -252,6 +252,9 @@
 void StateServiceEmulator::tick() {
   if (in_outage_) return;
   drop_expired_leases();
+  // Before the time-outs: those tell the new revision and no events, so that whoever watched would
+  // never hear of the leases' ends.
+  answer_watchers();
   end_expired_watches();
 }
 
