--- a/app/shunttrail-controller.cpp
+++ b/app/shunttrail-controller.cpp
@@ -44,7 +44,7 @@
   if (check) return 0;
   try {
     actor::Loop loop;
-    controller::Controller controller(loop, settings, tuning, build);
+    controller::Controller controller(loop, settings, tuning);
     loop.run();
   } catch (const std::exception& e) {
     spdlog::error("{}", e.what());
--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -38,7 +38,8 @@
                            {"late-weight", xml_into(tuning.late_weight, 0, 1e9)},
                            {"hold-s", xml_into(tuning.node_lease_s, 1, 600)},
                            {"reply-hold-s", xml_into(tuning.response_hold_s, 0, 3)},
-                           {"relay", flag_into(tuning.relay)}};
+                           {"relay", flag_into(tuning.relay)},
+                           {"delegation", flag_into(tuning.delegation)}};
   pugi::xml_document document;
   read_children(load_xml(document, text, "shunttrail"), "tuning", readers);
   return tuning;
--- a/src/config/tuning.h
+++ b/src/config/tuning.h
@@ -18,6 +18,7 @@
   double node_lease_s = 8.0;     ///< life of the lease that shows that this node is alive
   double response_hold_s = 0.3;  ///< the answer to a heartbeat waits this long for its commit
   bool relay = false;  ///< heartbeats of workers that cannot reach their leader are passed on to it
+  bool delegation = false;  ///< waiting tasks go to shards with idle room (docs/delegation.md)
 };
 
 /// Reads the tuning. Throws SettingsError.
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -28,7 +28,10 @@
  public:
   /// `settings` and `tuning` have to outlive the controller.
   Controller(actor::Loop& loop, const config::Settings& settings, const config::Tuning& tuning,
-             schema::Build build = schema::current_build());
+             schema::Build build);
+  /// With what this build can do under the tuning.
+  Controller(actor::Loop& loop, const config::Settings& settings, const config::Tuning& tuning)
+      : Controller(loop, settings, tuning, schema::current_build(tuning.delegation)) {}
 
   /// Whether this node leads the shard and its scheduler is open.
   [[nodiscard]] bool leads(int shard) const {
--- a/src/controller/peer_gossip.cpp
+++ b/src/controller/peer_gossip.cpp
@@ -41,7 +41,8 @@
       peer_status_(components.settings.shards()),
       loads_(components.settings.shards()),
       transferred_at_(components.settings.shards(), -1e9),
-      started_at_(loop.now()) {
+      started_at_(loop.now()),
+      offers_(components.settings.shards()) {
   for (const auto& node : components_.settings.nodes) {
     clients_.emplace_back();
     for (const auto& peer : components_.settings.peers)
@@ -61,6 +62,10 @@
   post([this, exchange = std::move(exchange)] { take_heartbeat(exchange); });
 }
 
+void PeerGossip::handle_room_offers(net::ExchangePtr exchange) {
+  post([this, exchange = std::move(exchange)] { take_room_offers(exchange); });
+}
+
 bool PeerGossip::another_serves() const {
   return peer::another_serves(peer_status_, started_at_, loop_.now());
 }
@@ -98,6 +103,7 @@
   for (const auto& client : clients_)
     if (client) client->request("POST", "/peer/beat", body, kHeartbeatTimeoutS, [](net::Result) {});
   rebalance();
+  exchange_room_offers();
 }
 
 peer::PeerHeartbeat PeerGossip::make_heartbeat() {
@@ -181,4 +187,76 @@
   return vcpus;
 }
 
+// ---- offers of room (docs/delegation.md)
+
+void PeerGossip::exchange_room_offers() {
+  if (!components_.tuning.delegation || components_.cloud_manager->catalogue().empty()) return;
+  const std::vector<scheduler::RoomOffer> own = own_room_offers();
+  send_room_offers(own);
+  hand_out_room_offers(own);
+}
+
+// Of all shards that this node leads, as many as one message holds.
+std::vector<scheduler::RoomOffer> PeerGossip::own_room_offers() const {
+  std::vector<scheduler::RoomOffer> own;
+  for (const auto& controller : components_.shard_controllers) {
+    const scheduler::ShardScheduler* scheduler = controller->scheduler();
+    if (!scheduler) continue;
+    const auto offers = scheduler->room_offers(loop_.now());
+    own.insert(own.end(), offers.begin(), offers.end());
+  }
+  if (own.size() > peer::kMaxRoomOffers) own.resize(peer::kMaxRoomOffers);
+  return own;
+}
+
+// An empty message is sent once, after which the siblings' copies expire by themselves.
+void PeerGossip::send_room_offers(const std::vector<scheduler::RoomOffer>& offers) {
+  if (offers.empty() && !has_sent_offers_) return;
+  has_sent_offers_ = !offers.empty();
+  const scheduler::MachineCatalogue& catalogue = components_.cloud_manager->catalogue();
+  peer::RoomOffers message;
+  message.node = components_.settings.self;
+  for (const scheduler::RoomOffer& offer : offers)
+    message.offers.push_back({offer.shard,
+                              catalogue.types[static_cast<std::size_t>(offer.type)].spec.name,
+                              components_.settings.zones[static_cast<std::size_t>(offer.zone)],
+                              offer.spot, offer.room.cpus, offer.room.gpus, offer.room.mem});
+  const std::string body = peer::encode(message);
+  for (const auto& client : clients_)
+    if (client) client->request("POST", "/peer/room", body, kHeartbeatTimeoutS, [](net::Result) {});
+}
+
+void PeerGossip::take_room_offers(const net::ExchangePtr& exchange) {
+  const auto message = peer::decode_room_offers(exchange->body, components_.settings.shards());
+  if (!message) {
+    ++malformed_;
+    return exchange->send({400, "{}", 0});
+  }
+  const scheduler::MachineCatalogue& catalogue = components_.cloud_manager->catalogue();
+  OfferReport& report = offers_[message->node];
+  report = {loop_.now(), {}};
+  for (const peer::RoomOffers::Offer& offer : message->offers) {
+    const int type = catalogue.type_index(offer.type);
+    const int zone = components_.settings.zone_index(offer.zone);
+    if (type < 0 || zone < 0) continue;
+    report.offers.push_back(
+        {offer.shard, type, zone, offer.spot, {offer.cpus, offer.gpus, offer.mem}});
+  }
+  exchange->send({200, "{}", 0});
+}
+
+// Each shard that this node leads gets what all others offer, of this node's own ones too.
+void PeerGossip::hand_out_room_offers(const std::vector<scheduler::RoomOffer>& own) {
+  std::vector<scheduler::RoomOffer> all = own;
+  for (const OfferReport& report : offers_)
+    if (loop_.now() - report.at <= kLoadValidS)
+      all.insert(all.end(), report.offers.begin(), report.offers.end());
+  for (int shard = 0; shard < components_.settings.shards(); ++shard) {
+    std::vector<scheduler::RoomOffer> others;
+    for (const scheduler::RoomOffer& offer : all)
+      if (offer.shard != shard) others.push_back(offer);
+    components_.shard_controller(shard).set_room_offers(std::move(others));
+  }
+}
+
 }  // namespace shunttrail::controller
--- a/src/controller/peer_gossip.h
+++ b/src/controller/peer_gossip.h
@@ -9,6 +9,7 @@
 #include "controller/state_store.h"
 #include "net/http.h"
 #include "peer/peer.h"
+#include "scheduler/room_offer.h"
 #include "shard/balance.h"
 
 namespace shunttrail::controller {
@@ -22,6 +23,8 @@
   void tick();
   /// A sibling's heartbeat: 200, or 400 if it cannot be decoded.
   void handle_request(net::ExchangePtr exchange);
+  /// A sibling's offers of room: 200, or 400 if they cannot be decoded.
+  void handle_room_offers(net::ExchangePtr exchange);
 
   /// Whether a sibling may be able to serve: it has said so lately, or none is heard
   /// (peer::another_serves).
@@ -40,6 +43,12 @@
   [[nodiscard]] peer::PeerHeartbeat make_heartbeat();
   [[nodiscard]] peer::PeerHeartbeat::Load report_load(int shard);
   void rebalance();
+
+  void take_room_offers(const net::ExchangePtr& exchange);
+  void exchange_room_offers();
+  [[nodiscard]] std::vector<scheduler::RoomOffer> own_room_offers() const;
+  void send_room_offers(const std::vector<scheduler::RoomOffer>& offers);
+  void hand_out_room_offers(const std::vector<scheduler::RoomOffer>& own);
   void transfer_machines(int from, const std::vector<shard::Load>& loads);
   [[nodiscard]] std::vector<shard::Load> recent_loads() const;
   [[nodiscard]] std::vector<double> waiting_vcpus_by_tier(int shard) const;
@@ -50,6 +59,13 @@
   std::vector<ShardLoadReport> loads_;                 ///< By shard.
   std::vector<double> transferred_at_;                 ///< By shard, loop time.
   const double started_at_;
+  /// What a sibling offers.
+  struct OfferReport {
+    double at = -1e9;  ///< Loop time.
+    std::vector<scheduler::RoomOffer> offers;
+  };
+  std::vector<OfferReport> offers_;  ///< By node.
+  bool has_sent_offers_ = false;     ///< With the latest heartbeat.
   double next_heartbeat_at_ = 0;
   std::uint64_t malformed_ = 0;
 };
--- a/src/controller/shard_controller.cpp
+++ b/src/controller/shard_controller.cpp
@@ -37,6 +37,7 @@
 void ShardController::tick() {
   post([this] {
     if (!scheduler_) return;
+    scheduler_->sync_delegations(state_store().cache(), now());
     scheduler_->tick(now());
     direct_commands_.send_probes();
     run_scheduling_pass();
@@ -72,6 +73,12 @@
   });
 }
 
+void ShardController::set_room_offers(std::vector<scheduler::RoomOffer> offers) {
+  post([this, offers = std::move(offers)] {
+    if (scheduler_) scheduler_->set_room_offers(offers);
+  });
+}
+
 // ---- the cloud's answers
 
 void ShardController::cloud_requests(bool with_returns, std::function<void(CloudRequests)> then) {
@@ -155,6 +162,7 @@
         break;
     }
   }
+  scheduler_->sync_delegations(state_store().cache(), now());
   schedule_pass();
 }
 
@@ -175,13 +183,20 @@
   return team >= 0 && settings().team_shard[team] == shard();
 }
 
-// Takes the job if its team belongs to this shard.
+bool ShardController::is_delegated_here(const wire::JobRecord& job) const {
+  return job.delegation && job.delegation->is_readable && job.delegation->shard == shard();
+}
+
+// Takes the job if its team belongs to this shard, or it is delegated here.
 void ShardController::add_job(const std::string& id, const state::JobEntry& job) {
   const int team = settings().team_index(job.record.spec.team);
-  if (!owns_team(team)) return;
+  if (!owns_team(team) && !is_delegated_here(job.record)) return;
   const double loop_now = now();
   const double wall_now = loop_.wall_now();
-  scheduler_->job_added(job.record, team, state_store().cache().done(id), loop_now, wall_now);
+  // Of a delegated job, only what this shard has stored itself counts as stored.
+  const state::StateCache& cache = state_store().cache();
+  const auto done = job.record.delegation ? cache.done(id, shard()) : cache.done(id);
+  scheduler_->job_added(job.record, team, done, loop_now, wall_now);
   const jobs::EffectivePriority effective =
       components_.job_results->dependencies().effective_priority(id, job.record);
   scheduler_->set_effective_priority(id, effective.priority, loop_now + (effective.due - wall_now));
@@ -211,6 +226,7 @@
     if (machine.shard == shard()) add_machine(machine);
   for (const auto& [number, page] : cache.placement_pages(shard()))
     scheduler_->recover_page(number, page, opened_at);
+  scheduler_->sync_delegations(cache, opened_at);
   spdlog::info("shard {}: leading under token {} {}", shard(), token, scheduler_->summary());
   scheduler_->tick(opened_at);
   schedule_pass();
--- a/src/controller/shard_controller.h
+++ b/src/controller/shard_controller.h
@@ -48,6 +48,9 @@
   /// Another shard lacks machines.
   void transfer(scheduler::MachineTransfer transfer);
 
+  /// What other shards offer for waiting tasks (docs/delegation.md).
+  void set_room_offers(std::vector<scheduler::RoomOffer> offers);
+
   /// What the cloud is to be asked for. Its answers name the scheduler by the token that it was
   /// opened under: for another scheduler they come too late.
   struct CloudRequests {
@@ -85,6 +88,7 @@
   void on_job_set(const std::string& id);
   void on_machine_set(const std::string& name);
   [[nodiscard]] bool owns_team(int team) const;
+  [[nodiscard]] bool is_delegated_here(const wire::JobRecord& job) const;
   void add_job(const std::string& id, const state::JobEntry& job);
   void add_machine(const wire::MachineRecord& machine);
   void lose_machine(const std::string& name);
--- /dev/null
+++ b/src/jobs/delegation.cpp
@@ -0,0 +1,131 @@
+#include "jobs/delegation.h"
+
+#include <algorithm>
+#include <map>
+
+#include "schema/schema.h"
+
+namespace shunttrail::jobs {
+
+namespace {
+
+std::vector<bool> tasks_in(const wire::Intervals& intervals, std::uint32_t tasks) {
+  std::vector<bool> out(tasks, false);
+  for (const auto& [first, last] : intervals)
+    for (std::uint64_t task = first; task <= last && task < tasks; ++task) out[task] = true;
+  return out;
+}
+
+void remove_done(const state::StateCache& cache, const std::string& id, std::vector<bool>& tasks) {
+  for (const auto& [chunk, intervals] : cache.done(id))
+    for (const auto& [first, last] : intervals)
+      for (std::uint64_t i = first; i <= last; ++i) {
+        const std::uint64_t task = std::uint64_t{chunk} * kTasksPerChunk + i;
+        if (task < tasks.size()) tasks[task] = false;
+      }
+}
+
+void add(std::vector<bool>& tasks, const std::vector<bool>& more) {
+  for (std::size_t task = 0; task < tasks.size(); ++task)
+    if (more[task]) tasks[task] = true;
+}
+
+/// Sums up, by team, what stands or may come to stand in other shards' pages.
+class DelegatedUse {
+ public:
+  DelegatedUse(const state::StateCache& cache, const config::Settings& settings, int shard)
+      : cache_(cache), settings_(settings), shard_(shard), use_(settings.teams.size()) {}
+
+  void add_job(const state::JobEntry& job) {
+    const wire::JobSpec& spec = job.record.spec;
+    const std::vector<bool> away = tasks_away(cache_, job);
+    const auto count = std::count(away.begin(), away.end(), true);
+    const int team = settings_.team_index(spec.team);
+    if (!is_own(team) || count == 0) return;
+    add_tasks(team, Resources::of(spec.cpus, spec.gpus, spec.mem_gb), count);
+  }
+
+  /// Tasks of jobs that are over stand in a page until they are proven gone.
+  void add_page(const wire::PlacementPageRecord& page) {
+    for (const wire::JobPlacements& job : page.jobs) {
+      const bool is_counted =
+          cache_.delegated().contains(job.job) || cache_.ended_delegated().contains(job.job);
+      if (is_counted || !is_own(job.team)) continue;
+      add_tasks(job.team, Resources::of(job.cpus, job.gpus, job.mem_gb),
+                static_cast<long>(job.placements.size()));
+    }
+  }
+
+  [[nodiscard]] std::vector<Resources> take() { return std::move(use_); }
+
+ private:
+  [[nodiscard]] bool is_own(int team) const {
+    return team >= 0 && settings_.team_shard[static_cast<std::size_t>(team)] == shard_;
+  }
+  void add_tasks(int team, const Resources& need, std::int64_t count) {
+    use_[static_cast<std::size_t>(team)] +=
+        Resources{need.cpus * count, need.gpus * count, need.mem * count};
+  }
+
+  const state::StateCache& cache_;
+  const config::Settings& settings_;
+  const int shard_;
+  std::vector<Resources> use_;
+};
+
+}  // namespace
+
+bool delegation_enabled(const state::StateCache& cache) {
+  const schema::StoredView& view = cache.schema();
+  const int version = schema::version_of(schema::Feature::delegation);
+  if (!schema::FeatureGate(view).on(schema::Feature::delegation)) return false;
+  return std::all_of(view.members.begin(), view.members.end(),
+                     [&](const schema::StoredView::Member& member) {
+                       return member.mod_revision == 0 || member.build.highest >= version;
+                     });
+}
+
+bool has_zone_rules(const wire::JobSpec& spec) { return spec.same_zone || spec.anti_affinity; }
+
+bool is_closing_read(const state::StateCache& cache, const state::JobEntry& job) {
+  return job.record.delegation->is_closed && cache.revision() >= job.mod_revision;
+}
+
+std::vector<bool> tasks_away(const state::StateCache& cache, const state::JobEntry& job) {
+  const wire::JobSpec& spec = job.record.spec;
+  const wire::Delegation& delegation = *job.record.delegation;
+  if (!delegation.is_readable) return std::vector<bool>(spec.tasks, true);
+  const std::vector<bool> placed = cache.placed(spec.id, delegation.shard, spec.tasks);
+  const bool is_any_placed = std::find(placed.begin(), placed.end(), true) != placed.end();
+  if (is_closing_read(cache, job) && !(is_any_placed && spec.gang)) return placed;
+  std::vector<bool> away = tasks_in(delegation.tasks, spec.tasks);
+  remove_done(cache, spec.id, away);
+  // A task that is done may still stand in a page, where nothing proves that no later attempt runs.
+  add(away, placed);
+  return away;
+}
+
+std::vector<bool> withheld_tasks(const state::StateCache& cache, const state::JobEntry& job,
+                                 int shard, int team_shard) {
+  const wire::JobSpec& spec = job.record.spec;
+  const std::optional<wire::Delegation>& delegation = job.record.delegation;
+  if (shard == team_shard) return delegation ? tasks_away(cache, job) : std::vector<bool>{};
+  const bool may_start =
+      delegation && delegation->is_readable && !delegation->is_closed && delegation->shard == shard;
+  if (!may_start) return std::vector<bool>(spec.tasks, true);
+  std::vector<bool> withheld = tasks_in(delegation->tasks, spec.tasks);
+  withheld.flip();
+  return withheld;
+}
+
+std::vector<Resources> delegated_use(const state::StateCache& cache,
+                                     const config::Settings& settings, int shard) {
+  DelegatedUse use(cache, settings, shard);
+  for (const std::string& id : cache.delegated()) use.add_job(*cache.job(id));
+  for (const auto& [id, job] : cache.ended_delegated()) use.add_job(job);
+  for (const auto& [owner, number] : cache.foreign_pages(shard))
+    use.add_page(cache.placement_pages(owner).at(number));
+  return use.take();
+}
+
+}  // namespace shunttrail::jobs
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace shunttrail::jobs {
 namespace {
@@ -68,6 +69,22 @@
   return true;
 }
 
+bool Job::finish(std::uint32_t task, double now) {
+  if (dirty_chunks.empty()) dirty_since = now;
+  return mark_done(task);
+}
+
+void Job::withhold(std::vector<bool> tasks) {
+  const std::vector<bool> before = std::exchange(withheld_, std::move(tasks));
+  for (std::uint32_t task = 0; task < spec.tasks; ++task) {
+    const bool was_withheld = task < before.size() && before[task];
+    if (is_withheld(task))
+      pending.erase(task);
+    else if (was_withheld && !done(task) && placements[task] == 0)
+      pending.insert(task);
+  }
+}
+
 std::vector<bool> Job::chunk(std::uint32_t chunk) const {
   const std::size_t begin = std::min(first_task(chunk), done_.size());
   const std::size_t end = std::min(begin + kTasksPerChunk, done_.size());
@@ -90,12 +107,15 @@
 
 double Job::latest_start() const { return std::min(due - spec.estimate_s, since + kMaxWaitS); }
 
-bool Job::zone_ok(int zone) const {
+std::uint32_t Job::zone_room(int zone) const {
+  if (only_zone) return *only_zone == zone ? spec.tasks : 0;
   if (spec.same_zone)
     for (std::size_t other = 0; other < in_zone.size(); ++other)
-      if (static_cast<int>(other) != zone && in_zone[other]) return false;
+      if (static_cast<int>(other) != zone && placed_in(other)) return 0;
+  if (!spec.anti_affinity) return spec.tasks;
   // At most half of its tasks, rounded up, run in one zone.
-  return !spec.anti_affinity || in_zone[zone] + 1 <= (spec.tasks + 1) / 2;
+  const std::uint32_t most = (spec.tasks + 1) / 2;
+  return most - std::min(most, placed_in(static_cast<std::size_t>(zone)));
 }
 
 }  // namespace shunttrail::jobs
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -2,10 +2,12 @@
 /// A job that is not over, as the leader of its shard sees it. Free of I/O. Times are seconds of
 /// the steady clock unless they say otherwise.
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -67,10 +69,13 @@
   int image = -1;     ///< dense index of its image; -1: not assigned yet
   /// It fits into its team's guarantee together with the team's earlier unfinished jobs.
   bool within_guarantee = false;
+  /// Its team belongs to another shard, whose leader has delegated tasks of it to this shard.
+  bool is_foreign = false;
 
   /// The order of service, the first one lowest: urgent jobs, then those within a guarantee, then
-  /// the rest by priority.
+  /// the rest by priority. A foreign job goes behind the shard's own urgent and guaranteed ones.
   [[nodiscard]] int priority_band() const {
+    if (is_foreign) return static_cast<int>(std::max(priority, wire::Priority::standard)) + 1;
     if (priority <= wire::Priority::high) return static_cast<int>(priority);
     return within_guarantee ? kGuaranteed : static_cast<int>(priority) + 1;
   }
@@ -84,6 +89,8 @@
   void load_done(std::uint32_t chunk, const state::Intervals& intervals);
   /// Marks a task as done; false: it was already, or there is no such task.
   bool mark_done(std::uint32_t task);
+  /// The same for a result that the shard has yet to store.
+  bool finish(std::uint32_t task, double now);
   [[nodiscard]] bool done(std::uint32_t task) const { return task < done_.size() && done_[task]; }
   /// Whether the state service holds that the task is done.
   [[nodiscard]] bool persisted(std::uint32_t task) const {
@@ -109,8 +116,20 @@
   std::vector<std::uint16_t> placements;
   std::vector<std::uint32_t> in_zone;  ///< by zone: how many placements may exist
   std::uint32_t placed = 0;            ///< number of placements
-  /// Tasks that have no placement and are in no queue.
+  /// By zone: how many tasks may be placed by another shard; empty: none.
+  std::vector<std::uint32_t> away_in_zone;
+  /// Of a foreign job: the only zone in which this shard may place its tasks. Its team's shard
+  /// counts them against what the job allows. Absent: any that the job allows.
+  std::optional<int> only_zone;
+  /// Tasks that have no placement, are in no queue and are not withheld.
   std::set<std::uint32_t> pending;
+  /// Replaces the set of tasks that may not start in this shard, since another shard may run them;
+  /// by task, empty: none. None of them may be in a queue. Tasks that were withheld and are not any
+  /// more become pending.
+  void withhold(std::vector<bool> tasks);
+  [[nodiscard]] bool is_withheld(std::uint32_t task) const {
+    return task < withheld_.size() && withheld_[task];
+  }
 
   /// The tasks of a gang find one another by a common attempt, the round. It ends when none of its
   /// placements is left; until then a task that was in it cannot join it again.
@@ -124,11 +143,17 @@
   double backoff_s = 0;   ///< the last wait
 
   /// Whether one more of its tasks may be placed in this zone beside the placements that may exist.
-  [[nodiscard]] bool zone_ok(int zone) const;
+  [[nodiscard]] bool zone_ok(int zone) const { return zone_room(zone) > 0; }
+  /// How many more.
+  [[nodiscard]] std::uint32_t zone_room(int zone) const;
 
  private:
   std::vector<bool> done_;       ///< by task
   std::vector<bool> persisted_;  ///< by task
+  std::vector<bool> withheld_;   ///< by task; empty: none
+  [[nodiscard]] std::uint32_t placed_in(std::size_t zone) const {
+    return in_zone[zone] + (zone < away_in_zone.size() ? away_in_zone[zone] : 0);
+  }
   std::uint32_t done_count_ = 0;
 };
 using JobPtr = std::shared_ptr<Job>;
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -22,6 +22,15 @@
   archive(relayed.version, relayed.node, relayed.heartbeat);
 }
 
+template <class Archive>
+void serialize(Archive& archive, RoomOffers::Offer& offer) {
+  archive(offer.shard, offer.type, offer.zone, offer.spot, offer.cpus, offer.gpus, offer.mem);
+}
+template <class Archive>
+void serialize(Archive& archive, RoomOffers& offers) {
+  archive(offers.version, offers.node, offers.offers);
+}
+
 namespace {
 
 using Input = cereal::PortableBinaryInputArchive;
@@ -91,6 +100,29 @@
   return heartbeat;
 }
 
+/// Reads a name, whose claimed length is checked before it is allocated.
+std::string read_name(Input& archive) {
+  constexpr std::uint64_t kMaxNameBytes = 256;
+  std::uint64_t length = 0;
+  archive(length);
+  check(length <= kMaxNameBytes);
+  std::string name(length, ' ');
+  for (char& letter : name) archive(letter);
+  return name;
+}
+
+RoomOffers::Offer read_offer(Input& archive, int nodes) {
+  RoomOffers::Offer offer;
+  archive(offer.shard);
+  check(offer.shard >= 0 && offer.shard < nodes);
+  offer.type = read_name(archive);
+  offer.zone = read_name(archive);
+  offer.spot = read_flag(archive);
+  archive(offer.cpus, offer.gpus, offer.mem);
+  check(offer.cpus >= 0 && offer.gpus >= 0 && offer.mem >= 0);
+  return offer;
+}
+
 /// Applies `read` to an archive of the bytes; none: they are malformed.
 template <class Message, class Read>
 std::optional<Message> read_message(const std::string& bytes, int nodes, Read read) {
@@ -120,6 +152,20 @@
 
 std::string encode(const PeerHeartbeat& heartbeat) { return bytes_of(heartbeat); }
 std::string encode(const RelayedHeartbeat& relayed) { return bytes_of(relayed); }
+std::string encode(const RoomOffers& offers) { return bytes_of(offers); }
+
+std::optional<RoomOffers> decode_room_offers(const std::string& bytes, int nodes) {
+  return read_message<RoomOffers>(bytes, nodes, [&](Input& archive) {
+    RoomOffers offers;
+    archive(offers.version, offers.node);
+    check(offers.version == RoomOffers{}.version);
+    std::uint64_t count = 0;
+    archive(count);
+    check(count <= kMaxRoomOffers);
+    for (std::uint64_t i = 0; i < count; ++i) offers.offers.push_back(read_offer(archive, nodes));
+    return offers;
+  });
+}
 
 std::optional<RelayedHeartbeat> decode_relayed(const std::string& bytes, int nodes) {
   constexpr std::size_t kHeadBytes = kByteOrderBytes + kSenderBytes + kLengthBytes;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -35,6 +35,27 @@
   std::string heartbeat;      ///< the worker's body
 };
 
+/// Room on machines of the shards that a node leads, for tasks of other shards
+/// (docs/delegation.md). Beside PeerHeartbeat, so that builds which do not know it read that one.
+struct RoomOffers {
+  std::uint32_t version = 1;  ///< of the message's form
+  std::int32_t node = -1;     ///< the sender's index
+  /// Room of one machine, as jobs::Resources counts it.
+  struct Offer {
+    std::int32_t shard = -1;
+    std::string type;  ///< the machine type's name
+    std::string zone;
+    bool spot = false;
+    std::int64_t cpus = 0;
+    std::int64_t gpus = 0;
+    std::int64_t mem = 0;
+    friend bool operator==(const Offer&, const Offer&) = default;
+  };
+  std::vector<Offer> offers;
+};
+/// Offers in one message; the sender leaves out what is beyond.
+inline constexpr std::size_t kMaxRoomOffers = 256;
+
 /// What a node last told, and when.
 struct PeerStatus {
   double at = -1e9;  ///< seconds of the steady clock
@@ -51,6 +72,11 @@
 /// Reads a heartbeat of a cluster of `nodes` nodes; none: it is malformed or of another version.
 [[nodiscard]] std::optional<PeerHeartbeat> decode(const std::string& bytes, int nodes);
 
+[[nodiscard]] std::string encode(const RoomOffers& offers);
+/// Reads the offers of a node of a cluster of `nodes` nodes; none: they are malformed or of another
+/// version.
+[[nodiscard]] std::optional<RoomOffers> decode_room_offers(const std::string& bytes, int nodes);
+
 [[nodiscard]] std::string encode(const RelayedHeartbeat& relayed);
 /// Reads a relayed heartbeat; none: it is malformed or of another version.
 [[nodiscard]] std::optional<RelayedHeartbeat> decode_relayed(const std::string& bytes, int nodes);
--- /dev/null
+++ b/src/scheduler/delegation_planner.cpp
@@ -0,0 +1,337 @@
+#include "scheduler/delegation_planner.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+#include "jobs/delegation.h"
+#include "schema/schema.h"
+#include "wire/record_codec.h"
+
+namespace shunttrail::scheduler {
+
+using jobs::Job;
+using jobs::JobPtr;
+
+namespace {
+/// Between two runs, in seconds.
+constexpr double kRunIntervalS = 1;
+/// Waiting, in seconds, after which a job's tasks may be delegated: before that its own shard may
+/// well have room. Of the 90 s that a task may wait beside room, two attempts have to fit in.
+constexpr double kMinWaitS = 20;
+constexpr double kUrgentMinWaitS = 8;
+/// Tasks that have no place in the other shard after so many seconds come back.
+constexpr double kMaxUnplacedS = 12;
+/// A job whose delegation has ended is not delegated again for so many seconds.
+constexpr double kPauseS = 5;
+/// Jobs looked at in one run, and written in one transaction.
+constexpr std::size_t kMaxJobsPerRun = 64;
+constexpr std::size_t kMaxJobsPerTransaction = 4;
+/// Tasks of one delegation; all tasks of a gang, which can be delegated only as a whole.
+constexpr std::size_t kMaxTasks = 32;
+constexpr std::size_t kMaxWholeTasks = 128;
+/// Preconditions beside those on the jobs: the leader's key and the schema version.
+constexpr std::size_t kSharedPreconditions = 2;
+
+bool is_urgent(const Job& job) { return job.priority_band() < Job::kGuaranteed; }
+
+/// Marks the tasks that the results hold.
+std::vector<bool> done_tasks(const std::map<std::uint32_t, wire::Intervals>& done,
+                             std::uint32_t tasks) {
+  std::vector<bool> out(tasks, false);
+  for (const auto& [chunk, intervals] : done)
+    for (const auto& [first, last] : intervals)
+      for (std::uint64_t i = first; i <= last; ++i) {
+        const std::uint64_t task = std::uint64_t{chunk} * jobs::kTasksPerChunk + i;
+        if (task < tasks) out[task] = true;
+      }
+  return out;
+}
+
+wire::Intervals intervals_of(std::vector<std::uint32_t> tasks) {
+  std::sort(tasks.begin(), tasks.end());
+  wire::Intervals out;
+  for (const std::uint32_t task : tasks) {
+    if (!out.empty() && out.back().second + 1 == task)
+      out.back().second = task;
+    else
+      out.emplace_back(task, task);
+  }
+  return out;
+}
+
+/// Tasks of an open delegation, as far as its shard has got with them.
+struct Progress {
+  std::size_t unfinished = 0;
+  std::size_t unplaced = 0;
+};
+
+Progress progress(const state::StateCache& cache, const state::JobEntry& entry) {
+  const wire::JobSpec& spec = entry.record.spec;
+  const wire::Delegation& delegation = *entry.record.delegation;
+  const std::vector<bool> placed = cache.placed(spec.id, delegation.shard, spec.tasks);
+  const std::vector<bool> done = done_tasks(cache.done(spec.id), spec.tasks);
+  Progress out;
+  for (const auto& [first, last] : delegation.tasks)
+    for (std::uint32_t task = first; task <= last && task < spec.tasks; ++task) {
+      if (done[task]) continue;
+      ++out.unfinished;
+      out.unplaced += !placed[task];
+    }
+  return out;
+}
+}  // namespace
+
+// ---- transactions
+
+std::optional<wire::Transaction> DelegationPlanner::next_transaction(
+    const state::StateCache& cache, const state::TransactionLimits& limits, const std::string& tag,
+    std::uint64_t token, double now) {
+  if (in_flight_ || now < next_run_at_) return std::nullopt;
+  next_run_at_ = now + kRunIntervalS;
+  Draft draft{cache, limits, tag, now};
+  end_delegations(draft);
+  open_delegations(draft);
+  if (draft.transaction.ops.empty()) return std::nullopt;
+  draft.transaction.preconditions.emplace_back(state::leader_key(context_.shard), token);
+  draft.transaction.preconditions.push_back(schema::FeatureGate(cache.schema()).precondition());
+  in_flight_ = true;
+  return std::move(draft.transaction);
+}
+
+void DelegationPlanner::transaction_done() {
+  in_flight_ = false;
+  delegated_work_.outcome_known();
+}
+
+// False: the transaction has no room for it, or a value would be too long.
+bool DelegationPlanner::write_record(Draft& draft, const state::JobEntry& entry,
+                                     std::optional<wire::Delegation> delegation) {
+  wire::Transaction& transaction = draft.transaction;
+  if (transaction.ops.size() >= std::min(kMaxJobsPerTransaction, draft.limits.ops)) return false;
+  if (transaction.preconditions.size() + kSharedPreconditions >= draft.limits.preconditions)
+    return false;
+  // A key is written once in a transaction: of two changes at one revision a cache takes the first.
+  const std::string key = state::job_key(entry.record.spec.id);
+  const auto& ops = transaction.ops;
+  if (std::any_of(ops.begin(), ops.end(), [&](const auto& op) { return op.key == key; }))
+    return false;
+  wire::JobRecord record = entry.record;
+  record.delegation = std::move(delegation);
+  record.tag = draft.tag;
+  std::string value = wire::encode_record(record);
+  if (value.size() > draft.limits.value_bytes) return false;
+  transaction.preconditions.emplace_back(key, draft.cache.mod_revision(key));
+  transaction.ops.push_back({key, std::move(value), 0});
+  return true;
+}
+
+// ---- ending
+
+void DelegationPlanner::end_delegations(Draft& draft) {
+  for (const std::string& id : draft.cache.delegated()) {
+    const auto job = context_.jobs.find(id);
+    if (job == context_.jobs.end() || job->second->is_foreign) continue;
+    const state::JobEntry& entry = *draft.cache.job(id);
+    if (entry.record.delegation->is_readable) end_delegation(draft, entry);
+  }
+  std::erase_if(unplaced_since_,
+                [&](const auto& job) { return !draft.cache.delegated().contains(job.first); });
+  std::erase_if(ended_at_, [&](const auto& job) { return draft.now - job.second > kPauseS; });
+}
+
+void DelegationPlanner::end_delegation(Draft& draft, const state::JobEntry& entry) {
+  if (!entry.record.delegation->is_closed) {
+    if (!must_close(draft.cache, entry, draft.now)) return;
+    wire::Delegation closed = *entry.record.delegation;
+    closed.is_closed = true;
+    write_record(draft, entry, std::move(closed));
+    return;
+  }
+  if (!may_remove(draft.cache, entry, context_.shard)) return;
+  if (write_record(draft, entry, std::nullopt)) ended_at_[entry.record.spec.id] = draft.now;
+}
+
+bool DelegationPlanner::must_close(const state::StateCache& cache, const state::JobEntry& entry,
+                                   double now) {
+  const Progress left = progress(cache, entry);
+  if (left.unfinished == 0 || !jobs::delegation_enabled(cache)) return true;
+  const std::string& id = entry.record.spec.id;
+  if (left.unplaced == 0) {
+    unplaced_since_.erase(id);
+    return false;
+  }
+  return now - unplaced_since_.try_emplace(id, now).first->second > kMaxUnplacedS;
+}
+
+// Nothing can run in the other shard any more, and this one has stored its results: the other one
+// drops them with the delegation.
+bool DelegationPlanner::may_remove(const state::StateCache& cache, const state::JobEntry& entry,
+                                   int shard) {
+  if (!jobs::is_closing_read(cache, entry)) return false;
+  const wire::JobSpec& spec = entry.record.spec;
+  const int other = entry.record.delegation->shard;
+  const std::vector<bool> placed = cache.placed(spec.id, other, spec.tasks);
+  if (std::find(placed.begin(), placed.end(), true) != placed.end()) return false;
+  const std::vector<bool> there = done_tasks(cache.done(spec.id, other), spec.tasks);
+  const std::vector<bool> here = done_tasks(cache.done(spec.id, shard), spec.tasks);
+  for (std::size_t task = 0; task < there.size(); ++task)
+    if (there[task] && !here[task]) return false;
+  return true;
+}
+
+// ---- opening
+
+bool DelegationPlanner::has_waited(const Job& job, double now) {
+  return now - job.since > (is_urgent(job) ? kUrgentMinWaitS : kMinWaitS);
+}
+
+// In order of service.
+std::vector<JobPtr> DelegationPlanner::waiting_jobs(double now) const {
+  std::vector<JobPtr> found;
+  for (const auto& [id, job] : context_.jobs) {
+    const bool waits = job->queued || !job->pending.empty();
+    if (waits && !job->is_foreign && !job->over && job->not_before <= now) found.push_back(job);
+  }
+  const auto rank = [](const JobPtr& job) {
+    return std::tuple(job->priority_band(), job->latest_start());
+  };
+  std::sort(found.begin(), found.end(),
+            [&](const JobPtr& a, const JobPtr& b) { return rank(a) < rank(b); });
+  if (found.size() > kMaxJobsPerRun) found.resize(kMaxJobsPerRun);
+  return found;
+}
+
+// Only where the machine is up: one that is being rented is room enough.
+DelegationPlanner::QueuedByJob DelegationPlanner::queued_by_job() const {
+  QueuedByJob queued;
+  for (const auto& [order, number] : queues_.tasks()) {
+    Machine* machine = machines_.at(number);
+    if (!machine || machine->state != Machine::up || queues_.is_reserved(*machine)) continue;
+    const auto position = TaskQueues::find(*machine, order);
+    if (position == machine->queue.tasks.end()) continue;
+    queued[position->job.get()].push_back({position->task, machine, order});
+  }
+  return queued;
+}
+
+std::vector<DelegationPlanner::WaitingTask> DelegationPlanner::waiting_tasks(
+    const Job& job, const QueuedByJob& queued) const {
+  std::vector<WaitingTask> tasks;
+  for (const std::uint32_t task : job.pending) tasks.push_back({task, nullptr, {}});
+  if (const auto found = queued.find(&job); found != queued.end())
+    tasks.insert(tasks.end(), found->second.begin(), found->second.end());
+  return tasks;
+}
+
+// A machine of this shard has room that nothing waits for.
+bool DelegationPlanner::fits_here(const Job& job, double now) const {
+  const auto& all = machines_.all();
+  return std::any_of(all.begin(), all.end(), [&](const auto& entry) {
+    const Machine& machine = *entry.second;
+    if (!machine.accepts_work(now) || !machine.in_inventory) return false;
+    if (!machine.queue.tasks.empty()) return false;
+    return job.need.fits(machines_.room(machine, job.priority_band())) &&
+           machines_.usable(machine, job, now);
+  });
+}
+
+void DelegationPlanner::open_delegations(Draft& draft) {
+  waiting_ = {};
+  if (offers_.empty()) return;
+  Offers offers(context_.settings, context_.catalogue, offers_);
+  const bool is_enabled = jobs::delegation_enabled(draft.cache);
+  const QueuedByJob queued = queued_by_job();
+  std::set<int> used_shards;
+  for (const JobPtr& job : waiting_jobs(draft.now)) {
+    const std::vector<WaitingTask> waiting = waiting_tasks(*job, queued);
+    if (waiting.empty()) continue;
+    const std::size_t wanted = std::min(waiting.size(), kMaxWholeTasks);
+    // An open delegation is extended where there is room; no second one goes elsewhere.
+    OfferFit fit = offers.best_fit(*job, wanted, open_shard(draft.cache, *job));
+    if (fit.tasks == 0) fit = offers.best_fit(*job, wanted);
+    if (fit.tasks == 0 || fits_here(*job, draft.now)) continue;
+    waiting_.longest_s = std::max(waiting_.longest_s, draft.now - job->since);
+    std::uint64_t* why = obstacle(draft.cache, *job, waiting.size(), fit, is_enabled, draft.now);
+    if (why) {
+      *why += fit.tasks;
+      continue;
+    }
+    if (!open(draft, job, waiting, fit)) continue;
+    offers.take(*job, fit);
+    used_shards.insert(fit.shard);
+  }
+  // What they offer next will show what became of this.
+  std::erase_if(offers_, [&](const RoomOffer& offer) { return used_shards.contains(offer.shard); });
+}
+
+// The shard that may run some of the job's tasks already, and others as well.
+std::optional<int> DelegationPlanner::open_shard(const state::StateCache& cache, const Job& job) {
+  const state::JobEntry* entry = cache.job(job.spec.id);
+  if (!entry || !entry->record.delegation) return std::nullopt;
+  const wire::Delegation& delegation = *entry->record.delegation;
+  if (!delegation.is_readable || delegation.is_closed) return std::nullopt;
+  return delegation.shard;
+}
+
+// There is no delegation yet, or one that the tasks can join.
+bool DelegationPlanner::may_extend(const std::optional<wire::Delegation>& delegation,
+                                   const Job& job, const OfferFit& fit) const {
+  if (!delegation) return true;
+  if (!delegation->is_readable || delegation->is_closed || delegation->shard != fit.shard)
+    return false;
+  if (job.spec.gang || delegation->zone.has_value() != fit.zone.has_value()) return false;
+  return !fit.zone ||
+         *delegation->zone == context_.settings.zones[static_cast<std::size_t>(*fit.zone)];
+}
+
+// What keeps tasks that fit an offer from being delegated; null: nothing.
+std::uint64_t* DelegationPlanner::obstacle(const state::StateCache& cache, const Job& job,
+                                           std::size_t waiting, const OfferFit& fit,
+                                           bool is_enabled, double now) {
+  const std::string& id = job.spec.id;
+  const state::JobEntry* entry = cache.job(id);
+  if (!is_enabled || !entry) return &waiting_.disabled;
+  if (ended_at_.contains(id) || !may_extend(entry->record.delegation, job, fit))
+    return &waiting_.in_progress;
+  if (!quota_.allows(job, TeamQuota::Counted::placed)) return &waiting_.quota;
+  if (job.spec.gang) {
+    const std::size_t unfinished = job.spec.tasks - job.done_count();
+    const bool is_whole = job.placed == 0 && waiting == unfinished && fit.tasks == unfinished;
+    if (!is_whole) return &waiting_.gang;
+    if (!quota_.allows(job, TeamQuota::Counted::placed, unfinished)) return &waiting_.quota;
+  }
+  return has_waited(job, now) ? nullptr : &waiting_.not_yet;
+}
+
+bool DelegationPlanner::open(Draft& draft, const JobPtr& job,
+                             const std::vector<WaitingTask>& waiting, const OfferFit& fit) {
+  const std::size_t most = job->spec.gang ? fit.tasks : kMaxTasks;
+  std::size_t count = std::min(fit.tasks, most);
+  while (count > 0 && !quota_.allows(*job, TeamQuota::Counted::placed, count)) --count;
+  if (count == 0) return false;
+  std::vector<std::uint32_t> tasks;
+  for (std::size_t i = 0; i < count; ++i) tasks.push_back(waiting[i].task);
+  const state::JobEntry& entry = *draft.cache.job(job->spec.id);
+  // A gang goes as a whole, and keeps to its own rules there.
+  const std::optional<int> zone = job->spec.gang ? std::nullopt : fit.zone;
+  std::vector<std::uint32_t> all = tasks;
+  if (entry.record.delegation)
+    for (const auto& [first, last] : entry.record.delegation->tasks)
+      for (std::uint32_t task = first; task <= last; ++task) all.push_back(task);
+  wire::Delegation delegation{fit.shard, false, intervals_of(std::move(all))};
+  if (zone) delegation.zone = context_.settings.zones[static_cast<std::size_t>(*zone)];
+  if (!write_record(draft, entry, std::move(delegation))) return false;
+  for (std::size_t i = 0; i < count; ++i) leave_queue(waiting[i], draft.now);
+  delegated_work_.hold(job, tasks, zone);
+  context_.counters.delegated += count;
+  return true;
+}
+
+void DelegationPlanner::leave_queue(const WaitingTask& waiting, double now) {
+  if (!waiting.machine) return;
+  (void)queues_.dequeue(*waiting.machine, TaskQueues::find(*waiting.machine, waiting.order));
+  waiting.machine->note_idle(now);
+}
+
+}  // namespace shunttrail::scheduler
--- a/src/scheduler/heartbeat_processor.cpp
+++ b/src/scheduler/heartbeat_processor.cpp
@@ -136,8 +136,7 @@
 
 void HeartbeatProcessor::mark_done(const JobPtr& job, std::uint32_t task, double now) {
   if (job->over || job->done(task)) return;
-  if (job->dirty_chunks.empty()) job->dirty_since = now;
-  if (!job->mark_done(task)) return;
+  if (!job->finish(task, now)) return;
   ++context_.counters.dones;
   if (job->queued) finished_tasks_.push_back({job, task});
 }
--- a/src/scheduler/placement_page.h
+++ b/src/scheduler/placement_page.h
@@ -24,6 +24,9 @@
 struct PlacementPage {
   std::vector<PersistedPlacement> placements;
   std::vector<ResultChunk> results;
+  /// It still stores placements of foreign jobs that are released: the leader of their teams' shard
+  /// waits for their end to be stored.
+  bool rewrite_due = false;
 
   /// How full the page is, in placements.
   [[nodiscard]] std::size_t load() const;
--- a/src/scheduler/placement_store.cpp
+++ b/src/scheduler/placement_store.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <numeric>
+#include <unordered_map>
 #include <utility>
 
+#include "jobs/delegation.h"
+
 namespace shunttrail::scheduler {
 
 using jobs::JobPtr;
@@ -34,6 +37,8 @@
 constexpr std::size_t kReservedPreconditions = 2;
 /// Results wait so long for starts to share a transaction with.
 constexpr double kMaxResultDelayS = 3.0;
+/// The same for results of foreign jobs, which another leader has yet to read.
+constexpr double kMaxForeignResultDelayS = 0.5;
 /// Operations of a transaction that a job's end takes.
 constexpr std::size_t kJobEndOps = 2;
 }  // namespace
@@ -62,7 +67,10 @@
       // A machine that the inventory does not hold under this shard has been deleted, or was empty
       // when it moved away: nothing of ours can be on it.
       Machine* machine = machines_.find(placement.machine);
-      if (!machine) continue;
+      if (!machine) {
+        page.rewrite_due |= job->is_foreign;
+        continue;
+      }
       page.placements.push_back({machine->number, job, placement.task, placement.attempt});
       placements_.recover_placement(*machine, page.placements.back(), now);
     }
@@ -95,12 +103,33 @@
   const int zones = static_cast<int>(context_.settings.zones.size());
   auto job = std::make_shared<jobs::Job>(record, stored.team, 0, zones, now, 0);
   job->over = true;
+  const auto& team_shard = context_.settings.team_shard;
+  const auto team = static_cast<std::size_t>(std::max(stored.team, 0));
+  job->is_foreign =
+      stored.team >= 0 && team < team_shard.size() && team_shard[team] != context_.shard;
   job->pending.clear();
   return job;
 }
 
 // ---- pages
 
+// Pages that other shards' leaders wait for are written even if nothing new goes into them.
+void PlacementStore::note_foreign_released() {
+  if (!std::exchange(context_.foreign_released, false)) return;
+  for (PlacementPage& page : pages_)
+    page.rewrite_due |= std::any_of(page.placements.begin(), page.placements.end(),
+                                    [&](const PersistedPlacement& persisted) {
+                                      if (!persisted.job->is_foreign) return false;
+                                      const Placement* placement = placements_.find(persisted);
+                                      return !placement || placement->released;
+                                    });
+}
+
+bool PlacementStore::rewrite_due() const {
+  return std::any_of(pages_.begin(), pages_.end(),
+                     [](const PlacementPage& page) { return page.rewrite_due; });
+}
+
 // What is proven gone, or is written elsewhere by now, need not be carried on.
 void PlacementStore::prune() {
   for (std::size_t i = 0; i < pages_.size(); ++i) {
@@ -186,7 +215,7 @@
   if (builder.is_too_long()) return false;
   add_starts(draft, builder, write);
   const bool results_added = add_results(draft, builder, write);
-  if (write.starts.empty() && !results_added) return false;
+  if (write.starts.empty() && !results_added && !page.rewrite_due) return false;
 
   const std::string key = state::placement_page_key(context_.shard, static_cast<int>(index));
   const auto team_name = [&](int team) {
@@ -212,16 +241,25 @@
   return order;
 }
 
+// Those that have to be written come first.
+std::vector<std::size_t> PlacementStore::pages_to_write() const {
+  std::vector<std::size_t> order = emptiest_first();
+  std::stable_partition(order.begin(), order.end(),
+                        [&](std::size_t index) { return pages_[index].rewrite_due; });
+  return order;
+}
+
 void PlacementStore::write_pages(Draft& draft) {
   prune();
   const std::size_t max_ops = draft.limits.ops;
   const auto& ops = draft.transaction.ops;
   std::size_t written = 0;
-  for (const std::size_t index : emptiest_first()) {
+  for (const std::size_t index : pages_to_write()) {
     if (written >= kMaxPagesPerTransaction || ops.size() >= max_ops) break;
     // Results go along with starts; only those that have waited take writes of their own.
     const bool results_can_wait = written && !draft.results_due;
-    if (draft.starts.empty() && (draft.results.empty() || results_can_wait)) break;
+    const bool nothing_new = draft.starts.empty() && (draft.results.empty() || results_can_wait);
+    if (nothing_new && !pages_[index].rewrite_due) break;
     if (write_page(index, draft)) ++written;
   }
   // All full, or too long for what a value may hold by now: one more.
@@ -256,24 +294,45 @@
 // Ends jobs that are complete, and collects the results of the others.
 void PlacementStore::add_jobs(Draft& draft, double now) const {
   for (const auto& [id, job] : context_.jobs) {
-    if (job->complete()) {
-      if (draft.cache.job(id)) end_job(draft, *job);
+    if (!draft.cache.job(id)) continue;
+    // How a foreign job ends is for the leader of its team's shard to say.
+    if (job->complete() && !job->is_foreign) {
+      end_job(draft, *job);
       continue;
     }
-    if (job->dirty_chunks.empty() || !draft.cache.job(id)) continue;
-    draft.results_due |= now - job->dirty_since > kMaxResultDelayS;
+    if (job->dirty_chunks.empty()) continue;
+    const double max_delay_s = job->is_foreign ? kMaxForeignResultDelayS : kMaxResultDelayS;
+    draft.results_due |= now - job->dirty_since > max_delay_s;
     for (const std::uint32_t chunk : job->dirty_chunks) draft.results.push_back({job, chunk});
   }
 }
 
+// As the record says whose revision the starts will be conditional on. None: the job is gone.
+std::optional<std::vector<bool>> PlacementStore::withheld_tasks(const state::StateCache& cache,
+                                                                const jobs::Job& job) const {
+  const state::JobEntry* entry = cache.job(job.spec.id);
+  if (!entry) return std::nullopt;
+  if (!job.is_foreign && !entry->record.delegation) return std::vector<bool>{};
+  const int team_shard = context_.settings.team_shard[static_cast<std::size_t>(job.team)];
+  return jobs::withheld_tasks(cache, *entry, context_.shard, team_shard);
+}
+
 // What is to be started, the more urgent first.
 std::vector<PersistedPlacement> PlacementStore::planned(const state::StateCache& cache) const {
   std::vector<PersistedPlacement> starts;
+  std::unordered_map<const jobs::Job*, std::optional<std::vector<bool>>> withheld_by_job;
+  const auto may_start = [&](const Placement& placement) {
+    const jobs::Job* job = placement.job.get();
+    const auto [entry, is_new] = withheld_by_job.try_emplace(job);
+    if (is_new) entry->second = withheld_tasks(cache, *job);
+    if (!entry->second) return false;
+    return placement.task >= entry->second->size() || !(*entry->second)[placement.task];
+  };
   for (const auto& [number, machine] : machines_.all()) {
     if (!machine->in_inventory) continue;
     for (const Placement& placement : machine->tasks.placements) {
       if (placement.phase != Phase::planned || placement.released || placement.job->over) continue;
-      if (!cache.job(placement.job->spec.id)) continue;
+      if (!may_start(placement)) continue;
       starts.push_back({number, placement.job, placement.task, placement.attempt});
     }
   }
@@ -295,7 +354,8 @@
                                                token_policy_.token());
   add_jobs(draft, now);
   draft.starts = planned(cache);
-  if (!draft.starts.empty() || draft.results_due) write_pages(draft);
+  note_foreign_released();
+  if (!draft.starts.empty() || draft.results_due || rewrite_due()) write_pages(draft);
   if (draft.transaction.ops.empty()) return std::nullopt;
   ++context_.counters.commits;
   pending_ = std::move(draft.pending);
@@ -331,6 +391,7 @@
   pending_.reset();
   for (const PageWrite& write : applied.writes) {
     PlacementPage& page = pages_[write.page];
+    page.rewrite_due = false;
     starts_committed(page, write);
     results_committed(page, write, now);
   }
--- a/src/scheduler/placement_store.h
+++ b/src/scheduler/placement_store.h
@@ -72,10 +72,15 @@
   void add_jobs(Draft& draft, double now) const;
   static void end_job(Draft& draft, const jobs::Job& job);
   std::vector<PersistedPlacement> planned(const state::StateCache& cache) const;
+  [[nodiscard]] std::optional<std::vector<bool>> withheld_tasks(const state::StateCache& cache,
+                                                                const jobs::Job& job) const;
 
+  void note_foreign_released();
+  [[nodiscard]] bool rewrite_due() const;
   void prune();
   std::vector<std::size_t> emptiest_first() const;
   void write_pages(Draft& draft);
+  std::vector<std::size_t> pages_to_write() const;
   bool write_page(std::size_t index, Draft& draft);
   std::uint64_t oldest_attempt(const PlacementPage& page) const;
   static bool add_precondition(Draft& draft, const jobs::Job& job);
--- a/src/scheduler/placements.cpp
+++ b/src/scheduler/placements.cpp
@@ -59,6 +59,7 @@
   }
   machine.note_idle(now);
   context_.scheduling_due = true;
+  context_.foreign_released |= job.is_foreign;
 }
 
 void Placements::release(Machine& machine, Placement& placement, double now) {
@@ -128,18 +129,29 @@
     note_direct_due(machine);
 }
 
+void Placements::drop_if(Machine& machine, double now,
+                         const std::function<bool(const Placement&)>& is_dropped) {
+  for (Placement& placement : machine.tasks.placements)
+    if (is_dropped(placement)) release_for_good(machine, placement, now);
+  std::erase_if(machine.tasks.placements, is_dropped);
+}
+
 void Placements::drop_planned(Machine& machine, const JobPtr& job, double now) {
-  const auto is_planned = [&](const Placement& placement) {
+  drop_if(machine, now, [&](const Placement& placement) {
     return placement.job == job && placement.phase == Phase::planned;
-  };
-  for (Placement& placement : machine.tasks.placements)
-    if (is_planned(placement)) release_for_good(machine, placement, now);
-  std::erase_if(machine.tasks.placements, is_planned);
+  });
+}
+
+void Placements::drop_withheld(Machine& machine, const JobPtr& job, double now) {
+  drop_if(machine, now, [&](const Placement& placement) {
+    return placement.job == job && placement.phase == Phase::planned &&
+           job->is_withheld(placement.task);
+  });
 }
 
 void Placements::undo(Machine& machine, Placement& placement, double now) {
   placement.phase = Phase::planned;
-  if (!placement.job->over) return;
+  if (!placement.job->over && !placement.job->is_withheld(placement.task)) return;
   release_for_good(machine, placement, now);
   std::erase_if(machine.tasks.placements, [](const Placement& other) {
     return other.phase == Phase::planned && other.released;
--- a/src/scheduler/placements.h
+++ b/src/scheduler/placements.h
@@ -2,6 +2,7 @@
 // not to run, now or later, and what it takes meanwhile. Free of I/O.
 #pragma once
 #include <cstdint>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -42,9 +43,12 @@
   void recover_placement(Machine& machine, const PersistedPlacement& persisted, double now);
   /// The job is over: what was only planned never was.
   void drop_planned(Machine& machine, const jobs::JobPtr& job, double now);
+  /// The same for the job's tasks that are withheld (Job::withhold).
+  void drop_withheld(Machine& machine, const jobs::JobPtr& job, double now);
   /// The job is over: its running tasks are stopped at once, and not only when the machine reports.
   void stop_directly(Machine& machine, const jobs::JobPtr& job);
-  /// The placement's commit has failed: it is planned again, or dropped if its job is over by now.
+  /// The placement's commit has failed: it is planned again, or dropped if its job is over or its
+  /// task withheld by now.
   void undo(Machine& machine, Placement& placement, double now);
   /// The placement is proven not to run, now or later: what it takes is free again.
   void release(Machine& machine, Placement& placement, double now);
@@ -69,6 +73,8 @@
 
  private:
   void reserve_room(Machine& machine, const Placement& placement);
+  void drop_if(Machine& machine, double now,
+               const std::function<bool(const Placement&)>& is_dropped);
 
   ShardContext& context_;
   Machines& machines_;
--- a/src/scheduler/reservations.cpp
+++ b/src/scheduler/reservations.cpp
@@ -42,7 +42,8 @@
 }
 
 bool is_overdue(const Job& job, double now) {
-  if (job.placed || job.done_count() || job.not_before > now) return false;
+  // A foreign job goes back where it came from rather than take room from the shard's own.
+  if (job.is_foreign || job.placed || job.done_count() || job.not_before > now) return false;
   const bool waits = job.queued || !job.pending.empty();
   return waits && now - job.since > (is_urgent(job) ? kUrgentOverdueAfterS : kOverdueAfterS);
 }
--- a/src/scheduler/shard_context.h
+++ b/src/scheduler/shard_context.h
@@ -28,6 +28,7 @@
   std::uint64_t returns = 0;           // machines returned since they were idle
   std::uint64_t replaced = 0;          // machines given up on
   std::uint64_t consolidated = 0;      // machines drained of their replicas
+  std::uint64_t delegated = 0;         // tasks delegated to other shards
   std::uint64_t commits = 0;           // transactions begun
   std::uint64_t commit_failures = 0;
 };
@@ -43,13 +44,15 @@
   /// Size in GB by the images' dense index.
   std::vector<double> image_gb{};
   Counters counters{};
+  /// A placement of a foreign job was released since PlacementStore last looked for such.
+  bool foreign_released = false;
   /// Something became possible since the last scheduling pass.
   bool scheduling_due = true;
 
   /// A task without a placement is to enter the chain again.
   void requeue(const jobs::JobPtr& job, std::uint32_t task) {
     if (job->over || job->done(task) || task >= job->spec.tasks) return;
-    if (job->placements[task] == 0) job->pending.insert(task);
+    if (job->placements[task] == 0 && !job->is_withheld(task)) job->pending.insert(task);
     scheduling_due = true;
   }
 };
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -49,6 +49,8 @@
       consolidation_(context_, machines_, placements_),
       failure_detector_(context_, machines_),
       urgent_headroom_(context_, machines_),
+      delegated_work_(context_, machines_, placements_, queues_, quota_),
+      delegation_planner_(context_, machines_, queues_, quota_, delegated_work_),
       last_heartbeat_at_(now) {}
 
 // ---- jobs
@@ -68,6 +70,9 @@
   context_.image_gb.resize(images_.size());
   context_.image_gb[static_cast<std::size_t>(job->image)] = spec.image_gb;
   for (const auto& [chunk, intervals] : done) job->load_done(chunk, intervals);
+  job->is_foreign = record.delegation && record.delegation->is_readable &&
+                    record.delegation->shard == context_.shard;
+  if (record.delegation) delegated_work_.restrict(job);
   context_.jobs[spec.id] = job;
   context_.scheduling_due = true;
 }
@@ -254,7 +259,25 @@
   placements_.token_advanced();
 }
 
+// Delegations have transactions of their own: a late look at the tag on a job's key, which the
+// job's end drops, must not decide about starts (TransactionPipeline::resolve).
+std::optional<wire::Transaction> ShardScheduler::next_transaction(
+    const state::StateCache& cache, const state::TransactionLimits& limits, const std::string& tag,
+    double now) {
+  if (transaction_in_flight()) return std::nullopt;
+  sync_delegations(cache, now);
+  auto delegations = delegation_planner_.next_transaction(cache, limits, tag, token(), now);
+  if (delegations) return delegations;
+  return placement_store_.next_transaction(cache, limits, tag, now);
+}
+
+void ShardScheduler::transaction_failed(double now) {
+  delegation_planner_.transaction_done();
+  placement_store_.transaction_failed(now);
+}
+
 void ShardScheduler::transaction_applied(double now) {
+  delegation_planner_.transaction_done();
   for (const std::string& id : placement_store_.transaction_applied(now)) job_gone(id, now);
 }
 
@@ -335,6 +358,14 @@
 
 // ---- other shards, and operators
 
+std::vector<RoomOffer> ShardScheduler::room_offers(double now) const {
+  return scheduler::room_offers(context_, machines_, queues_, now);
+}
+
+void ShardScheduler::sync_delegations(const state::StateCache& cache, double now) {
+  for (const std::string& id : delegated_work_.sync(cache, now)) job_gone(id, now);
+}
+
 shard::Load ShardScheduler::load(double now) const {
   shard::Load load;
   if (context_.catalogue.empty()) return load;
@@ -344,7 +375,7 @@
   std::vector<double> machines(teams.size(), 0);  // by team
   std::vector<double> cpus(teams.size(), 0);
   for (const auto& [id, job] : context_.jobs) {
-    if (job->not_before > now && !job->placed) continue;
+    if (job->is_foreign || (job->not_before > now && !job->placed)) continue;
     const double left = job->spec.tasks - (job->spec.service ? 0 : job->done_count());
     const auto team = static_cast<std::size_t>(job->team);
     machines[team] += left * share_of(job->need, first_type);
@@ -358,6 +389,8 @@
   return load;
 }
 
-std::string ShardScheduler::summary() const { return shard_summary(context_, machines_, token()); }
+std::string ShardScheduler::summary() const {
+  return shard_summary(context_, machines_, delegation_planner_.waiting_beside_offers(), token());
+}
 
 }  // namespace shunttrail::scheduler
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -12,6 +12,8 @@
 #include "scheduler/admission.h"
 #include "scheduler/backfill.h"
 #include "scheduler/chain_walk.h"
+#include "scheduler/delegated_work.h"
+#include "scheduler/delegation_planner.h"
 #include "scheduler/failure_detector.h"
 #include "scheduler/heartbeat_processor.h"
 #include "scheduler/machine_transfers.h"
@@ -23,6 +25,7 @@
 #include "scheduler/rentals.h"
 #include "scheduler/replica_consolidation.h"
 #include "scheduler/reservations.h"
+#include "scheduler/room_offers.h"
 #include "scheduler/shard_context.h"
 #include "scheduler/task_queues.h"
 #include "scheduler/team_quota.h"
@@ -131,13 +134,11 @@
   /// The next transaction; at most one is in flight at a time.
   [[nodiscard]] std::optional<wire::Transaction> next_transaction(
       const state::StateCache& cache, const state::TransactionLimits& limits,
-      const std::string& tag, double now) {
-    return placement_store_.next_transaction(cache, limits, tag, now);
-  }
+      const std::string& tag, double now);
   void transaction_applied(double now);
-  void transaction_failed(double now) { placement_store_.transaction_failed(now); }
+  void transaction_failed(double now);
   [[nodiscard]] bool transaction_in_flight() const {
-    return placement_store_.transaction_in_flight();
+    return placement_store_.transaction_in_flight() || delegation_planner_.transaction_in_flight();
   }
 
   // ---- time
@@ -175,6 +176,16 @@
   /// Marked to go to other shards, in machines of the first type.
   [[nodiscard]] double transferring() const { return transfers_.transferring(); }
 
+  /// Room that nothing of this shard waits for, for tasks of others (docs/delegation.md).
+  [[nodiscard]] std::vector<RoomOffer> room_offers(double now) const;
+  /// What the other shards offer.
+  void set_room_offers(std::vector<RoomOffer> offers) {
+    delegation_planner_.set_offers(std::move(offers));
+  }
+  /// Takes over what the cache holds of delegations. To be called after each change of the cache,
+  /// and before anything is scheduled.
+  void sync_delegations(const state::StateCache& cache, double now);
+
   // ---- for operators
 
   [[nodiscard]] const Counters& counters() const { return context_.counters; }
@@ -213,6 +224,8 @@
   ReplicaConsolidation consolidation_;
   FailureDetector failure_detector_;
   UrgentHeadroom urgent_headroom_;
+  DelegatedWork delegated_work_;
+  DelegationPlanner delegation_planner_;
   // Names to dense indices.
   std::unordered_map<std::string, int> classes_, images_;
   // Steady times, in seconds.
--- a/src/scheduler/shard_summary.cpp
+++ b/src/scheduler/shard_summary.cpp
@@ -59,18 +59,40 @@
 }
 
 json counters_json(const Counters& counters) {
-  return {{"starts", counters.starts},     {"direct", counters.direct},
-          {"dones", counters.dones},       {"errors", counters.errors},
-          {"lost", counters.lost},         {"rents", counters.rents},
-          {"given", counters.transferred}, {"preempted", counters.preempted},
-          {"refused", counters.refused},   {"returns", counters.returns},
-          {"replaced", counters.replaced}, {"emptied", counters.consolidated},
-          {"commits", counters.commits},   {"commit_failures", counters.commit_failures}};
+  return {{"starts", counters.starts},
+          {"direct", counters.direct},
+          {"dones", counters.dones},
+          {"errors", counters.errors},
+          {"lost", counters.lost},
+          {"rents", counters.rents},
+          {"given", counters.transferred},
+          {"preempted", counters.preempted},
+          {"refused", counters.refused},
+          {"returns", counters.returns},
+          {"replaced", counters.replaced},
+          {"emptied", counters.consolidated},
+          {"delegated", counters.delegated},
+          {"commits", counters.commits},
+          {"commit_failures", counters.commit_failures}};
+}
+
+// Tasks of other shards' teams that this shard runs or has yet to place.
+std::size_t foreign_tasks(const ShardContext& context) {
+  std::size_t tasks = 0;
+  for (const auto& [id, job] : context.jobs)
+    if (job->is_foreign) tasks += job->placed + job->queued + job->pending.size();
+  return tasks;
+}
+
+json waiting_json(const WaitingBesideOffers& waiting) {
+  return {{"beside_not_yet", waiting.not_yet},         {"beside_quota", waiting.quota},
+          {"beside_in_progress", waiting.in_progress}, {"beside_gang", waiting.gang},
+          {"beside_disabled", waiting.disabled},       {"beside_longest_s", waiting.longest_s}};
 }
 }  // namespace
 
 std::string shard_summary(const ShardContext& context, const Machines& machines,
-                          std::uint64_t token) {
+                          const WaitingBesideOffers& waiting, std::uint64_t token) {
   MachineCounts machine_counts;
   TaskCounts task_counts;
   for (const auto& [number, machine] : machines.all()) {
@@ -82,7 +104,9 @@
   json summary{{"shard", context.shard},
                {"token", token},
                {"jobs", context.jobs.size()},
-               {"k", machines.waits()}};
+               {"k", machines.waits()},
+               {"foreign", foreign_tasks(context)}};
+  summary.update(waiting_json(waiting));
   summary.update(machines_json(machine_counts));
   summary.update(tasks_json(task_counts));
   summary.update(counters_json(context.counters));
--- a/src/scheduler/shard_summary.h
+++ b/src/scheduler/shard_summary.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <string>
 
+#include "scheduler/delegation_planner.h"
 #include "scheduler/machines.h"
 #include "scheduler/shard_context.h"
 
@@ -9,6 +10,6 @@
 
 /// Counts the shard's machines, placements and jobs. The names are listed in docs/architecture.md.
 [[nodiscard]] std::string shard_summary(const ShardContext& context, const Machines& machines,
-                                        std::uint64_t token);
+                                        const WaitingBesideOffers& waiting, std::uint64_t token);
 
 }  // namespace shunttrail::scheduler
--- a/src/scheduler/task_queues.cpp
+++ b/src/scheduler/task_queues.cpp
@@ -127,23 +127,29 @@
   });
 }
 
-void TaskQueues::drop_job(Machine& machine, const JobPtr& job) {
+void TaskQueues::drop_if(Machine& machine,
+                         const std::function<bool(const QueuedTask&)>& is_dropped) {
   std::erase_if(machine.queue.tasks, [&](const QueuedTask& task) {
-    if (task.job != job) return false;
+    if (!is_dropped(task)) return false;
     count_removed(machine, task);
     return true;
   });
 }
 
+void TaskQueues::drop_job(Machine& machine, const JobPtr& job) {
+  drop_if(machine, [&](const QueuedTask& task) { return task.job == job; });
+}
+
+void TaskQueues::drop_withheld(Machine& machine, const JobPtr& job) {
+  drop_if(machine,
+          [&](const QueuedTask& task) { return task.job == job && job->is_withheld(task.task); });
+}
+
 void TaskQueues::drop_task(const JobPtr& job, std::uint32_t task) {
   if (!job->queued) return;
-  for (const auto& [number, machine] : machines_.all()) {
-    std::erase_if(machine->queue.tasks, [&, at = machine.get()](const QueuedTask& queued) {
-      if (queued.job != job || queued.task != task) return false;
-      count_removed(*at, queued);
-      return true;
-    });
-  }
+  for (const auto& [number, machine] : machines_.all())
+    drop_if(*machine,
+            [&](const QueuedTask& queued) { return queued.job == job && queued.task == task; });
 }
 
 // ---- reservations
--- a/src/scheduler/task_queues.h
+++ b/src/scheduler/task_queues.h
@@ -2,6 +2,7 @@
 // waiting tasks are served. Free of I/O.
 #pragma once
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <tuple>
 #include <vector>
@@ -49,6 +50,8 @@
   void requeue_job(Machine& machine, const jobs::JobPtr& job);
   /// The job is over: its tasks leave the machine's queue.
   void drop_job(Machine& machine, const jobs::JobPtr& job);
+  /// Tasks of the job that are withheld (Job::withhold) leave the machine's queue.
+  void drop_withheld(Machine& machine, const jobs::JobPtr& job);
   /// A task of the job is done: it leaves the queue where it waits for another attempt, if any.
   void drop_task(const jobs::JobPtr& job, std::uint32_t task);
 
@@ -65,6 +68,7 @@
   /// vcpus, GPUs and memory of a task.
   using Need = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 
+  void drop_if(Machine& machine, const std::function<bool(const QueuedTask&)>& is_dropped);
   std::uint64_t next_order(const jobs::Job& job, int priority_band);
   void count_added(Machine& machine, const QueuedTask& task);
   void count_removed(Machine& machine, const QueuedTask& task);
--- a/src/scheduler/team_quota.cpp
+++ b/src/scheduler/team_quota.cpp
@@ -19,7 +19,9 @@
     : context_(context),
       placements_(placements),
       queued_(context.settings.teams.size()),
-      reservations_(context.settings.teams.size()) {}
+      reservations_(context.settings.teams.size()),
+      delegated_(context.settings.teams.size()),
+      delegating_(context.settings.teams.size()) {}
 
 void TeamQuota::task_queued(const Job& job) {
   queued_[static_cast<std::size_t>(job.team)] += job.need;
@@ -28,11 +30,27 @@
   queued_[static_cast<std::size_t>(job.team)] -= job.need;
 }
 
-bool TeamQuota::allows(const Job& job, Counted counted) const {
+void TeamQuota::add_delegating(const Job& job) {
+  delegating_[static_cast<std::size_t>(job.team)] += job.need;
+}
+void TeamQuota::clear_delegating() {
+  std::fill(delegating_.begin(), delegating_.end(), Resources{});
+}
+
+// Of a team of this shard: on all machines, wherever they belong.
+Resources TeamQuota::used(int team) const {
+  const auto index = static_cast<std::size_t>(team);
+  return placements_.used(team) + delegated_[index] + delegating_[index];
+}
+
+// The leader of a foreign job's own shard has reserved what its delegated tasks take.
+bool TeamQuota::allows(const Job& job, Counted counted, std::size_t tasks) const {
+  if (job.is_foreign) return true;
   const auto team = static_cast<std::size_t>(job.team);
   const auto& settings = context_.settings.teams[team];
   const Resources limit = Resources::of(settings.cpus_max, settings.gpus_max, 0);
-  Resources sum = placements_.used(job.team) + job.need;
+  const auto count = static_cast<std::int64_t>(tasks);
+  Resources sum = used(job.team) + Resources{job.need.cpus * count, job.need.gpus * count, 0};
   if (counted == Counted::placed_and_queued) sum += queued_[team];
   const JobPtr& reserved = reservations_[team].job;
   if (reserved && reserved.get() != &job) sum += reserved->need;
@@ -42,7 +60,7 @@
 bool TeamQuota::beyond_guarantee(int team) const {
   if (team < 0) return false;
   const auto& settings = context_.settings.teams[static_cast<std::size_t>(team)];
-  return placements_.used(team).cpus > Resources::of(settings.cpus, 0, 0).cpus;
+  return used(team).cpus > Resources::of(settings.cpus, 0, 0).cpus;
 }
 
 void TeamQuota::reserve(const JobPtr& job, double now) {
@@ -74,7 +92,7 @@
 void TeamQuota::mark_guaranteed_jobs() {
   std::vector<std::vector<Job*>> jobs_by_team(context_.settings.teams.size());
   for (auto& [id, job] : context_.jobs)
-    jobs_by_team[static_cast<std::size_t>(job->team)].push_back(job.get());
+    if (!job->is_foreign) jobs_by_team[static_cast<std::size_t>(job->team)].push_back(job.get());
   for (std::size_t team = 0; team < jobs_by_team.size(); ++team) {
     std::vector<Job*>& jobs = jobs_by_team[team];
     std::sort(jobs.begin(), jobs.end(),
--- a/src/scheduler/team_quota.h
+++ b/src/scheduler/team_quota.h
@@ -2,6 +2,7 @@
 // Free of I/O.
 #pragma once
 #include <cstddef>
+#include <utility>
 #include <vector>
 
 #include "scheduler/placements.h"
@@ -22,9 +23,9 @@
   /// A task of the job has left a machine's queue.
   void task_dequeued(const jobs::Job& job);
 
-  /// One more task of the job keeps its team within its limit, and leaves what is kept for another
-  /// job of the team (`reserve`).
-  [[nodiscard]] bool allows(const jobs::Job& job, Counted counted) const;
+  /// So many more tasks of the job keep its team within its limit, and leave what is kept for
+  /// another job of the team (`reserve`).
+  [[nodiscard]] bool allows(const jobs::Job& job, Counted counted, std::size_t tasks = 1) const;
   /// The team uses more vcpus than it is guaranteed. False for a team that is unknown (negative).
   [[nodiscard]] bool beyond_guarantee(int team) const;
 
@@ -35,6 +36,15 @@
   /// Ends reservations that are over, used or out of date.
   void expire_reservations(double now);
 
+  // ---- tasks that other shards may run (docs/delegation.md)
+
+  /// What they take by team, as far as that is stored.
+  void set_delegated(std::vector<jobs::Resources> by_team) { delegated_ = std::move(by_team); }
+  /// One more task of the job is about to be delegated.
+  void add_delegating(const jobs::Job& job);
+  /// All that was about to be delegated is stored, or will not be.
+  void clear_delegating();
+
   /// Marks the jobs that are within their team's guarantee (Job::within_guarantee), if the jobs
   /// have changed or the last update is some time ago.
   void update_guarantees(double now);
@@ -46,11 +56,14 @@
   };
 
   void mark_guaranteed_jobs();
+  [[nodiscard]] jobs::Resources used(int team) const;
 
   ShardContext& context_;
   const Placements& placements_;
-  std::vector<jobs::Resources> queued_;    // by team
-  std::vector<Reservation> reservations_;  // by team
+  std::vector<jobs::Resources> queued_;      // by team
+  std::vector<Reservation> reservations_;    // by team
+  std::vector<jobs::Resources> delegated_;   // by team
+  std::vector<jobs::Resources> delegating_;  // by team
   std::size_t last_job_count_ = 0;
   double guarantees_updated_at_ = -1e9;
 };
--- a/src/schema/schema.cpp
+++ b/src/schema/schema.cpp
@@ -9,6 +9,7 @@
   static const std::vector<Version> kAll = {
       {0, "first", "the forms of builds that know no levels", false},
       {1, "machine-ages", "roster pages tell when each machine was rented", true},
+      {2, "delegation", "job records tell which tasks another shard may run", true},
   };
   return kAll;
 }
@@ -18,12 +19,17 @@
   return level > 0 && position < table().size() && table()[position].downgrade;
 }
 
-Build current_build() { return {0, static_cast<int>(table().size()) - 1, 1}; }
+Build current_build(bool delegation) {
+  const int highest = static_cast<int>(table().size()) - 1;
+  return {0, highest, delegation ? highest : version_of(Feature::delegation) - 1};
+}
 
 int version_of(Feature feature) {
   switch (feature) {
     case Feature::machine_ages:
       return 1;
+    case Feature::delegation:
+      return 2;
   }
   return 0;
 }
--- a/src/schema/schema.h
+++ b/src/schema/schema.h
@@ -38,12 +38,14 @@
 const std::vector<Version>& table();
 /// Whether an active level can be lowered again; false for one that this build does not know.
 [[nodiscard]] bool can_downgrade(int level);
-/// What this build can do.
-[[nodiscard]] Build current_build();
+/// What this build can do. It takes part in delegation only where the operators have said so
+/// (config::Tuning), since builds that know no levels do not count delegated tasks.
+[[nodiscard]] Build current_build(bool delegation = false);
 
 /// A change of what is stored, which a level switches on.
 enum class Feature {
   machine_ages,  ///< inventory pages tell when each machine was rented
+  delegation,    ///< job records tell which tasks another shard may run
 };
 /// The level that switches a feature on.
 [[nodiscard]] int version_of(Feature feature);
--- a/src/simulation/cluster_options.h
+++ b/src/simulation/cluster_options.h
@@ -45,6 +45,7 @@
   double list_lag_s = 0;     ///< the cloud's lists are up to twice as old; 0: current
   double wall_off_s = 0.1;   ///< largest error of a controller's time of day, either way
   bool relay = true;         ///< whether controllers relay heartbeats for each other
+  bool delegation = true;    ///< whether waiting tasks go to shards with idle room
 
   // ---- requests that go wrong
   double heartbeat_copies = 0;  ///< share of heartbeats that are delivered again later
--- a/src/simulation/simulated_controllers.cpp
+++ b/src/simulation/simulated_controllers.cpp
@@ -39,6 +39,7 @@
       shared_settings_(make_settings(options)),
       processes_(static_cast<std::size_t>(options.controllers)) {
   tuning_.relay = options.relay;
+  tuning_.delegation = options.delegation;
 }
 
 void SimulatedControllers::start_all() {
--- a/src/state/state_cache.cpp
+++ b/src/state/state_cache.cpp
@@ -14,7 +14,10 @@
 }  // namespace
 
 StateCache::StateCache(const config::Settings& settings)
-    : settings_(settings), placement_pages_(settings.shards()), leaders_(settings.shards()) {
+    : settings_(settings),
+      placement_pages_(settings.shards()),
+      foreign_pages_(settings.shards()),
+      leaders_(settings.shards()) {
   schema_.members.resize(static_cast<std::size_t>(settings.shards()));
 }
 
@@ -42,10 +45,12 @@
 }
 
 void StateCache::for_each_job_placements(
-    const std::string& id, const std::function<void(const wire::JobPlacements&)>& visit) const {
+    const std::string& id, std::optional<int> only_shard,
+    const std::function<void(const wire::JobPlacements&)>& visit) const {
   const auto known = pages_of_job_.find(id);
   if (known == pages_of_job_.end()) return;
   for (const auto& [shard, page] : known->second) {
+    if (only_shard && shard != *only_shard) continue;
     const auto& jobs = placement_pages_[static_cast<std::size_t>(shard)].at(page).jobs;
     const auto job = std::find_if(jobs.begin(), jobs.end(),
                                   [&](const wire::JobPlacements& j) { return j.job == id; });
@@ -53,15 +58,33 @@
   }
 }
 
-std::map<std::uint32_t, Intervals> StateCache::done(const std::string& id) const {
+std::map<std::uint32_t, Intervals> StateCache::done_in(const std::string& id,
+                                                       std::optional<int> shard) const {
   std::map<std::uint32_t, Intervals> out;
-  for_each_job_placements(id, [&](const wire::JobPlacements& job) {
+  for_each_job_placements(id, shard, [&](const wire::JobPlacements& job) {
     for (const auto& [chunk, finished] : job.done)
       out[chunk].insert(out[chunk].end(), finished.begin(), finished.end());
   });
   return out;
 }
 
+std::map<std::uint32_t, Intervals> StateCache::done(const std::string& id) const {
+  return done_in(id, std::nullopt);
+}
+
+std::map<std::uint32_t, Intervals> StateCache::done(const std::string& id, int shard) const {
+  return done_in(id, shard);
+}
+
+std::vector<bool> StateCache::placed(const std::string& id, int shard, std::uint32_t tasks) const {
+  std::vector<bool> out(tasks, false);
+  for_each_job_placements(id, shard, [&](const wire::JobPlacements& job) {
+    for (const auto& placement : job.placements)
+      if (placement.task < tasks) out[placement.task] = true;
+  });
+  return out;
+}
+
 StateCache::Progress StateCache::progress(const JobEntry& job, std::uint32_t chunk_size) const {
   const std::string& id = job.record.spec.id;
   std::vector<bool> is_counted(job.record.spec.tasks, false);
@@ -76,7 +99,7 @@
     for (const auto& [first, last] : finished)
       for (std::uint64_t i = first; i <= last; ++i)
         count(std::uint64_t{chunk} * chunk_size + i, out.done);
-  for_each_job_placements(id, [&](const wire::JobPlacements& placements) {
+  for_each_job_placements(id, std::nullopt, [&](const wire::JobPlacements& placements) {
     for (const auto& placement : placements.placements) count(placement.task, out.placed);
   });
   return out;
@@ -107,6 +130,9 @@
   if (revision <= revision_) return;
   revision_ = revision;
   std::erase_if(tombstones_, [&](const auto& t) { return t.second <= revision; });
+  const std::size_t ended = std::erase_if(
+      ended_delegated_, [&](const auto& job) { return !tombstones_.contains(job_key(job.first)); });
+  if (ended > 0) ++delegation_changes_;
 }
 
 void StateCache::replace(std::uint64_t revision, const std::vector<wire::Event>& items,
@@ -162,7 +188,7 @@
   const std::string& name = key.name;
   switch (key.kind) {
     case KeyKind::job:
-      jobs_[name] = {wire::decode_job_record(event), event.mod_revision};
+      set_job(name, event);
       changes.push_back({Change::job_set, name, -1});
       break;
     case KeyKind::waiting_job:
@@ -196,7 +222,9 @@
   const std::string& name = key->name;
   switch (key->kind) {
     case KeyKind::job:
-      if (jobs_.erase(name)) changes.push_back({Change::job_gone, name, -1});
+      if (!jobs_.contains(name)) break;
+      drop_job(name, full_key);
+      changes.push_back({Change::job_gone, name, -1});
       break;
     case KeyKind::waiting_job:
       if (waiting_.erase(name)) changes.push_back({Change::waiting_gone, name, -1});
@@ -234,6 +262,44 @@
   replace_inventory(page, std::move(record.machines), changes);
 }
 
+void StateCache::set_job(const std::string& id, const wire::Event& event) {
+  JobEntry entry{wire::decode_job_record(event), event.mod_revision};
+  const std::optional<wire::Delegation>& delegation = entry.record.delegation;
+  if (delegation && !delegation->is_readable) ++malformed_;
+  const bool was_delegated = delegation ? !delegated_.insert(id).second : delegated_.erase(id) > 0;
+  if (delegation || was_delegated) ++delegation_changes_;
+  jobs_[id] = std::move(entry);
+}
+
+void StateCache::drop_job(const std::string& id, const std::string& key) {
+  const auto job = jobs_.find(id);
+  if (delegated_.erase(id) > 0) {
+    ++delegation_changes_;
+    if (tombstones_.contains(key)) ended_delegated_[id] = std::move(job->second);
+  }
+  jobs_.erase(job);
+}
+
+bool StateCache::has_surplus_delegations() const {
+  return !delegated_.empty() && !schema::FeatureGate(schema_).on(schema::Feature::delegation);
+}
+
+// Of each page only what teams of other shards have on it.
+void StateCache::index_foreign(const PlacementPageName& name, const wire::PlacementPageRecord& page,
+                               bool is_added) {
+  for (const wire::JobPlacements& job : page.jobs) {
+    if (job.team < 0) continue;
+    const auto team = static_cast<std::size_t>(job.team);
+    if (team >= settings_.team_shard.size() || settings_.team_shard[team] == name.shard) continue;
+    ++delegation_changes_;
+    auto& pages = foreign_pages_[static_cast<std::size_t>(settings_.team_shard[team])];
+    if (is_added)
+      pages.insert({name.shard, name.page});
+    else
+      pages.erase({name.shard, name.page});
+  }
+}
+
 void StateCache::set_placement_page(const std::string& name, const wire::Event& event) {
   const std::optional<PlacementPageName> page = placement_page_in(name);
   if (!page) return;
@@ -242,6 +308,7 @@
   drop_placement_page(*page);
   const std::pair at(page->shard, page->page);
   for (const auto& job : record.jobs) pages_of_job_[job.job].insert(at);
+  index_foreign(*page, record, true);
   placement_pages_[static_cast<std::size_t>(page->shard)].emplace(page->page, std::move(record));
 }
 
@@ -249,6 +316,7 @@
   auto& pages = placement_pages_[static_cast<std::size_t>(name.shard)];
   const auto page = pages.find(name.page);
   if (page == pages.end()) return;
+  index_foreign(name, page->second, false);
   for (const auto& job : page->second.jobs) {
     const auto known = pages_of_job_.find(job.job);
     if (known == pages_of_job_.end()) continue;
--- a/src/state/state_cache.h
+++ b/src/state/state_cache.h
@@ -92,7 +92,7 @@
   /// Whether all pages have that form, and everything that was written before the level changed has
   /// been read.
   [[nodiscard]] bool all_converted() const {
-    return revision_ >= schema_.mod_revision && converted() >= 1;
+    return revision_ >= schema_.mod_revision && converted() >= 1 && !has_surplus_delegations();
   }
   /// The jobs whose tasks may start, by id.
   [[nodiscard]] const std::map<std::string, JobEntry>& jobs() const { return jobs_; }
@@ -124,6 +124,29 @@
     std::uint64_t done = 0;
     std::uint64_t placed = 0;  ///< and not done
   };
+  /// The same from one shard's placement pages.
+  [[nodiscard]] std::map<std::uint32_t, Intervals> done(const std::string& id, int shard) const;
+
+  // ---- delegated jobs (docs/delegation.md)
+
+  /// Ids of the jobs whose records hold a delegation.
+  [[nodiscard]] const std::set<std::string>& delegated() const { return delegated_; }
+  /// Jobs that have ended with a delegation in a transaction that is newer than `revision()`: what
+  /// came before it may not have been read.
+  [[nodiscard]] const std::map<std::string, JobEntry>& ended_delegated() const {
+    return ended_delegated_;
+  }
+  /// By task of the job: it stands in a placement page of the shard.
+  [[nodiscard]] std::vector<bool> placed(const std::string& id, int shard,
+                                         std::uint32_t tasks) const;
+  /// Placement pages of other shards, as shard and number, that hold placements of teams of this
+  /// one.
+  [[nodiscard]] const std::set<std::pair<int, int>>& foreign_pages(int shard) const {
+    return foreign_pages_[static_cast<std::size_t>(shard)];
+  }
+  /// Rises with each change of a delegation, or of a placement page that is about one.
+  [[nodiscard]] std::uint64_t delegation_changes() const { return delegation_changes_; }
+
   /// A job's progress; `chunk_size` is the number of tasks in a chunk.
   [[nodiscard]] Progress progress(const JobEntry& job, std::uint32_t chunk_size) const;
   /// How many values could not be read since the start.
@@ -151,7 +174,13 @@
   /// Only machines that differ from what is known are changes.
   void replace_inventory(int page, std::vector<wire::MachineRecord> machines,
                          std::vector<Change>& changes);
+  void set_job(const std::string& id, const wire::Event& event);
+  void drop_job(const std::string& id, const std::string& key);
   void set_placement_page(const std::string& name, const wire::Event& event);
+  void index_foreign(const PlacementPageName& name, const wire::PlacementPageRecord& page,
+                     bool is_added);
+  /// Delegations are stored though the active level has none.
+  [[nodiscard]] bool has_surplus_delegations() const;
   void drop_placement_page(const PlacementPageName& name);
   void set_leader(const std::string& name, const wire::Event& event, std::vector<Change>& changes);
   void set_node(const std::string& name, const schema::StoredView::Member& member,
@@ -161,8 +190,11 @@
 
   /// Visits what each placement page says about the job, by the index below: there may be thousands
   /// of pages, and every poll for a job's state comes here.
-  void for_each_job_placements(const std::string& id,
+  void for_each_job_placements(const std::string& id, std::optional<int> only_shard,
                                const std::function<void(const wire::JobPlacements&)>& visit) const;
+  /// Finished tasks by the pages of one shard, or of all.
+  [[nodiscard]] std::map<std::uint32_t, Intervals> done_in(const std::string& id,
+                                                           std::optional<int> shard) const;
 
   const config::Settings& settings_;
   std::uint64_t revision_ = 0;
@@ -181,6 +213,10 @@
   std::vector<std::map<int, wire::PlacementPageRecord>> placement_pages_;
   /// By job: shard and number of each placement page that names it.
   std::unordered_map<std::string, std::set<std::pair<int, int>>> pages_of_job_;
+  std::set<std::string> delegated_;                           ///< ids of jobs
+  std::map<std::string, JobEntry> ended_delegated_;           ///< by id
+  std::vector<std::set<std::pair<int, int>>> foreign_pages_;  ///< by the teams' shard
+  std::uint64_t delegation_changes_ = 0;
   std::vector<LeaderEntry> leaders_;  ///< by shard
   schema::StoredView schema_;
   std::array<std::set<int>, 2> pages_by_form_;
--- a/src/wire/record_codec.cpp
+++ b/src/wire/record_codec.cpp
@@ -42,6 +42,70 @@
   return out;
 }
 
+json intervals_to_json(const Intervals& intervals) {
+  json out = json::array();
+  for (const auto& [first, last] : intervals) {
+    out.push_back(first);
+    out.push_back(last);
+  }
+  return out;
+}
+
+Intervals intervals_from_json(const json& numbers) {
+  constexpr const char* kExpected = "pairs of task indices in order";
+  if (!numbers.is_array() || numbers.size() % 2)
+    throw Malformed::bad_value("an interval", "is bad", kExpected);
+  Intervals out;
+  for (std::size_t i = 0; i < numbers.size(); i += 2) {
+    const std::uint64_t first = as_whole(numbers[i], "d");
+    const std::uint64_t last = as_whole(numbers[i + 1], "d");
+    if (first > last || last > kMaxTasks)
+      throw Malformed::bad_value("an interval", "is bad", kExpected);
+    out.emplace_back(static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(last));
+  }
+  return out;
+}
+
+/// The machine type of a delegated job, in place of its own ones. No cloud lists it, so builds that
+/// know no delegations start none of the job's tasks.
+constexpr const char* kDelegatedType = "-delegated-";
+
+json delegation_to_json(const JobSpec& spec, const Delegation& delegation) {
+  json out = {{"to", delegation.shard}, {"tasks", intervals_to_json(delegation.tasks)}};
+  if (delegation.is_closed) out["closed"] = 1;
+  if (spec.types) out["types"] = *spec.types;
+  if (delegation.zone) out["zone"] = *delegation.zone;
+  return out;
+}
+
+/// Reads the delegation, and gives the job its own machine types back.
+Delegation delegation_from_json(const json& j, JobSpec& spec) {
+  Delegation delegation;
+  const std::uint64_t shard = whole(j, "to");
+  if (shard > kMaxShard) throw Malformed::out_of_range("to", "0 to " + std::to_string(kMaxShard));
+  delegation.shard = static_cast<int>(shard);
+  delegation.is_closed = find(j, "closed") != nullptr;
+  delegation.tasks = intervals_from_json(list(j, "tasks"));
+  if (const json* zone = find(j, "zone")) delegation.zone = as_text(*zone, "zone");
+  for (const auto& [first, last] : delegation.tasks)
+    if (last >= spec.tasks) throw Malformed::bad_value("tasks", "is bad", "tasks of the job");
+  const json* types = find(j, "types");
+  spec.types = types ? std::optional(texts(*types, "types")) : std::nullopt;
+  return delegation;
+}
+
+/// A delegation that cannot be read may name any task: the job goes on being known, and waits.
+void read_delegation(const json& j, JobRecord& record) {
+  const json* delegation = find(j, "delegation");
+  if (!delegation) return;
+  try {
+    record.delegation = delegation_from_json(*delegation, record.spec);
+  } catch (const Malformed&) {
+    record.delegation = Delegation{};
+    record.delegation->is_readable = false;
+  }
+}
+
 }  // namespace
 
 std::string encode_record(const JobRecord& record) {
@@ -49,6 +113,11 @@
   j["at"] = record.submitted_at;
   if (record.ready_at > 0) j["ready"] = record.ready_at;
   if (!record.spec.dependencies.empty()) j["needs"] = dependencies_text(record.spec.dependencies);
+  if (record.delegation) {
+    j["delegation"] = delegation_to_json(record.spec, *record.delegation);
+    j["stock_types"] = {kDelegatedType};
+  }
+  if (!record.tag.empty()) j["w"] = record.tag;
   return j.dump();
 }
 
@@ -65,6 +134,8 @@
       all.insert(all.end(), std::make_move_iterator(ids.begin()),
                  std::make_move_iterator(ids.end()));
     }
+    read_delegation(j, record);
+    record.tag = text_or(j, "w", "");
     return record;
   });
 }
@@ -177,15 +248,6 @@
   return lowest.value_or(0);
 }
 
-json intervals_to_json(const Intervals& intervals) {
-  json out = json::array();
-  for (const auto& [first, last] : intervals) {
-    out.push_back(first);
-    out.push_back(last);
-  }
-  return out;
-}
-
 json job_placements_to_json(const JobPlacements& job, std::uint64_t base, const TeamName& team_name,
                             MachineNames& machines) {
   json placements = json::array();
@@ -220,21 +282,6 @@
   return out;
 }
 
-Intervals intervals_from_json(const json& numbers) {
-  constexpr const char* kExpected = "pairs of task indices in order";
-  if (!numbers.is_array() || numbers.size() % 2)
-    throw Malformed::bad_value("an interval", "is bad", kExpected);
-  Intervals out;
-  for (std::size_t i = 0; i < numbers.size(); i += 2) {
-    const std::uint64_t first = as_whole(numbers[i], "d");
-    const std::uint64_t last = as_whole(numbers[i + 1], "d");
-    if (first > last || last > kMaxTasks)
-      throw Malformed::bad_value("an interval", "is bad", kExpected);
-    out.emplace_back(static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(last));
-  }
-  return out;
-}
-
 std::vector<std::pair<std::uint32_t, Intervals>> done_from_json(const json& chunks) {
   if (!chunks.is_object()) throw Malformed::wrong_type("d", "an object");
   std::vector<std::pair<std::uint32_t, Intervals>> out;
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -169,12 +169,31 @@
   std::vector<Op> ops;
 };
 
+/// Task indices as [first, last], ends included.
+using Intervals = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+/// Tasks of a job that another shard than its team's may run (docs/delegation.md). Only the leader
+/// of the team's shard writes it.
+struct Delegation {
+  int shard = -1;          ///< the shard that may run the tasks
+  bool is_closed = false;  ///< none of the tasks starts there any more
+  Intervals tasks;
+  /// The only zone in which the tasks may run, so that both shards keep to what the job allows;
+  /// absent: the job itself says.
+  std::optional<std::string> zone{};
+  /// False: what is stored could not be read. None of the job's tasks may start anywhere.
+  bool is_readable = true;
+  friend bool operator==(const Delegation&, const Delegation&) = default;
+};
+
 /// The record of a job that is not over.
 struct JobRecord {
   JobSpec spec;
   double submitted_at = 0;  ///< time of day, seconds
   /// Time of day, seconds, when its last dependency was known to be done; 0: it had none.
   double ready_at = 0;
+  std::optional<Delegation> delegation{};
+  /// Names the transaction that wrote it; empty in the record of the submission.
+  std::string tag{};
 };
 
 /// The record of a rented machine and of the shard that it belongs to.
@@ -195,8 +214,6 @@
   int form = 0;  ///< 0, or 1, which also tells when machines were rented (schema::Feature)
 };
 
-/// Task indices as [first, last], ends included.
-using Intervals = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
 /// Where a job's tasks may run, and which of them are done, as one placement page has it.
 struct JobPlacements {
   /// One attempt of a task that may run on a machine.
--- /dev/null
+++ b/tests/fault_combinations_delegation_test.cpp
@@ -0,0 +1,247 @@
+// Waiting tasks that run on machines of another shard, while everything else fails: both leaders,
+// the state service, the machines, the users who cancel (docs/delegation.md).
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fault_combinations.h"
+
+namespace shunttrail::test {
+namespace {
+
+using Strings = std::vector<std::string>;
+
+constexpr double kLongestFault = 80;
+constexpr double kCalm = 420;  // until all is over that can be
+
+const char* const kTeams[] = {"red", "blue", "green", "white"};
+
+// SHUNTTRAIL_HISTORIES=FIRST-LAST plays these seeds instead.
+void each_seed(unsigned last, const std::function<void(unsigned)>& play) {
+  unsigned first = 1;
+  if (const char* more = std::getenv("SHUNTTRAIL_HISTORIES"))
+    std::sscanf(more, "%u-%u", &first, &last);
+  for (unsigned seed = first; seed <= last; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    play(seed);
+  }
+}
+
+// What leaders have asked the state service to write about delegations.
+struct Written {
+  int opened = 0, closed = 0;
+};
+
+void watch_writes(SimulatedCluster& cluster, Written& written) {
+  cluster.sim().way = [way = cluster.sim().way, &written](const simulation::Request& request) {
+    if (request.path == "/commit" && request.body.find("\"set\":\"st/j/") != std::string::npos) {
+      const bool is_delegated = request.body.find("\"delegation\":") != std::string::npos;
+      const bool is_closed = request.body.find("\"closed\":1") != std::string::npos;
+      written.closed += is_closed;
+      written.opened += is_delegated && !is_closed;
+    }
+    return way(request);
+  };
+}
+
+// As many machines as teams, and the cloud has no others. Every shard's machine is held by a small
+// task of its own; one team has far more work than its machine takes.
+struct OneTeamIsBusy {
+  Written written;
+  SimulatedCluster cluster;
+  Strings jobs;
+
+  static ClusterOptions options(unsigned seed) {
+    ClusterOptions options;
+    options.controllers = 2 + static_cast<int>(seed % 4);
+    options.teams = 4;
+    options.machines = 4;
+    options.team_limit = seed % 3 == 0 ? 6 : 10;
+    return options;
+  }
+
+  explicit OneTeamIsBusy(unsigned seed) : cluster(seed, options(seed)) {
+    watch_writes(cluster, written);
+    auto& sim = cluster.sim();
+    cluster.pass(12);
+    for (const char* team : kTeams)
+      jobs.push_back(cluster.users().submit(spec(team, 1, 1), sim.draw(120, 200)));
+    cluster.pass(12);
+    const int busy = static_cast<int>(sim.rng()() % 4);
+    for (int i = 0; i < 6; ++i) {
+      wire::JobSpec job = spec(kTeams[busy], 1 + sim.rng()() % 4, sim.chance(0.3) ? 2 : 1);
+      job.gang = job.tasks > 1 && job.tasks * job.cpus <= 4 && sim.chance(0.2);
+      job.same_zone = sim.chance(0.1);
+      job.anti_affinity = !job.same_zone && sim.chance(0.1);
+      if (sim.chance(0.1)) job.zone = "a";
+      if (sim.chance(0.3)) {
+        job.checkpoint_s = sim.draw(5, 20);
+        job.save_s = sim.draw(1, 8);
+      }
+      jobs.push_back(cluster.users().submit(job, sim.draw(10, 45)));
+    }
+    cluster.pass(sim.draw(18, 26));
+  }
+
+  void calm_down() {
+    ClusterOptions& options = cluster.options();
+    options.late_writes = options.lost_answers = options.heartbeat_copies = 0;
+    options.copies_for_next = options.slow_links_s = 0;
+    cluster.rules().faults_are_over();
+    cluster.pass(kCalm);
+    cluster.ask_everywhere();
+  }
+
+  Strings unfinished() const {
+    Strings out;
+    for (const auto& [id, job] : cluster.users().jobs())
+      if (job.accepted && job.told_done < 0 && job.told_cancelled < 0)
+        out.push_back(describe(cluster, job));
+    return out;
+  }
+};
+
+TEST(Delegation, WithoutFaultsTheBusyTeamsWorkGoesWhereRoomIs) {
+  int opened = 0;
+  each_seed(12, [&](unsigned seed) {
+    OneTeamIsBusy history(seed);
+    history.calm_down();
+    EXPECT_EQ(history.cluster.rules().broken(), Strings{});
+    EXPECT_EQ(history.unfinished(), Strings{});
+    EXPECT_EQ(history.cluster.rules().begun_again(), 0u);
+    opened += history.written.opened;
+  });
+  EXPECT_GT(opened, 6);
+}
+
+// Two drawn faults twice, while users cancel.
+TEST(Delegation, DrawnFaultsBreakNoRuleAndLeaveNothingWaiting) {
+  int seeds = 0, opened = 0, closed = 0;
+  each_seed(30, [&](unsigned seed) {
+    ++seeds;
+    OneTeamIsBusy history(seed);
+    SimulatedCluster& cluster = history.cluster;
+    auto& sim = cluster.sim();
+    std::string names;
+    for (int round = 0; round < 2; ++round) {
+      for (int i = 0; i < 2; ++i) {
+        const NamedFault& fault = named_faults()[sim.rng()() % named_faults().size()];
+        names += std::string(fault.name) + " ";
+        fault.begin(cluster);
+        cluster.pass(sim.draw(0, 6));
+      }
+      if (sim.chance(0.5)) faults::cancel_some(cluster, 0.2);
+      cluster.pass(sim.draw(5, 25));
+    }
+    cluster.pass(kLongestFault);
+    history.calm_down();
+    EXPECT_EQ(cluster.rules().broken(), Strings{}) << names;
+    EXPECT_EQ(history.unfinished(), Strings{}) << names;
+    opened += history.written.opened;
+    closed += history.written.closed;
+  });
+  EXPECT_GT(opened, seeds / 2);
+  EXPECT_GT(closed, seeds / 4);
+}
+
+// One leader or both end just as a delegation is written, or its tasks start; transactions are
+// lost, carried out late, or carried out and not answered.
+TEST(Delegation, LeadersEndAtEachStep) {
+  int seeds = 0, met = 0;
+  each_seed(30, [&](unsigned seed) {
+    ++seeds;
+    OneTeamIsBusy history(seed);
+    SimulatedCluster& cluster = history.cluster;
+    auto& sim = cluster.sim();
+    if (sim.chance(0.5)) cluster.options().late_writes = sim.draw(0.05, 0.3);
+    if (sim.chance(0.5)) cluster.options().lost_answers = sim.draw(0.05, 0.4);
+    for (int look = 0; look < 240; ++look) {
+      const int before = history.written.opened + history.written.closed;
+      cluster.pass(0.25);
+      if (history.written.opened + history.written.closed == before || !sim.chance(0.5)) continue;
+      ++met;
+      const double in_s = sim.draw(0, 1.5);
+      const bool is_both = sim.chance(0.3);
+      sim.at(sim.now() + in_s, [&cluster, &sim, is_both] {
+        for (int shard = 0; shard < cluster.options().controllers; ++shard) {
+          const int leader = cluster.controllers().leader(shard);
+          if (leader < 0 || !(is_both || sim.chance(0.4))) continue;
+          if (sim.chance(0.5))
+            cluster.faults().kill(leader, sim.draw(0.05, 12));
+          else if (sim.chance(0.5))
+            cluster.faults().freeze(leader, sim.draw(1, 20));
+          else
+            cluster.faults().cut(leader, FaultInjector::state, sim.draw(2, 30));
+        }
+      });
+      if (sim.chance(0.3)) faults::cancel_some(cluster, 0.2);
+    }
+    cluster.pass(kLongestFault);
+    history.calm_down();
+    EXPECT_EQ(cluster.rules().broken(), Strings{});
+    EXPECT_EQ(history.unfinished(), Strings{});
+  });
+  EXPECT_GT(met, seeds / 2);
+}
+
+// Each team works at its limit, and cancelled jobs' tasks are on machines that cannot be asked.
+TEST(Delegation, AJobThatIsCancelledWhereItCannotBeAskedHoldsItsTeamsLimit) {
+  int seeds = 0, opened = 0;
+  each_seed(20, [&](unsigned seed) {
+    ++seeds;
+    OneTeamIsBusy history(seed * 3);  // the lower limit
+    SimulatedCluster& cluster = history.cluster;
+    auto& sim = cluster.sim();
+    for (int round = 0; round < 6; ++round) {
+      for (int machine = 0; machine < cluster.machines().size(); ++machine) {
+        if (!sim.chance(0.4)) continue;
+        const double for_s = sim.draw(3, 40);
+        if (sim.chance(0.3))
+          cluster.faults().hang(machine, for_s);
+        else if (sim.chance(0.5))
+          cluster.faults().lose_responses(machine, for_s);
+        else
+          cluster.faults().cut_heartbeats(machine, for_s);
+      }
+      faults::cancel_some(cluster, 0.25);
+      for (const char* team : kTeams)
+        if (sim.chance(0.5)) cluster.users().submit(spec(team, 3, 1), sim.draw(10, 30));
+      cluster.pass(sim.draw(3, 15));
+      if (sim.chance(0.4))
+        cluster.faults().kill(cluster.controllers().random_leader(), sim.draw(0.05, 10));
+    }
+    cluster.pass(kLongestFault);
+    history.calm_down();
+    EXPECT_EQ(cluster.rules().broken(), Strings{});
+    EXPECT_EQ(history.unfinished(), Strings{});
+    opened += history.written.opened;
+  });
+  EXPECT_GT(opened, seeds / 2);
+}
+
+// Known to fail. A gang's task waits for 90 s beside room on another shard's machine while others
+// of its gang run or are done: a gang is delegated only as a whole, since its tasks find one
+// another by a common attempt, and attempts are numbered by each shard (`beside_gang` 1 in its
+// shard's log line from 67 s on; "at 179.255197: neglected: run-100004/1 ... on m-000004").
+TEST(Delegation, TheRestOfAGangDoesNotWaitBesideRoom) {
+  OneTeamIsBusy history(427);
+  history.calm_down();
+  EXPECT_EQ(history.cluster.rules().broken(), Strings{});
+}
+
+// Known to fail. A job's record holds one delegation: while a task of the job runs in one shard,
+// that has no more room, another task of it waits for 90 s beside room in a third one
+// (`beside_in_progress` 1 from 26 s on; "at 151.747634: neglected: run-100009/1 ... on m-000001").
+TEST(Delegation, TasksOfOneJobGoToTwoShardsAtOnce) {
+  OneTeamIsBusy history(238);
+  history.calm_down();
+  EXPECT_EQ(history.cluster.rules().broken(), Strings{});
+}
+
+}  // namespace
+}  // namespace shunttrail::test
