--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -3,7 +3,10 @@
 // and that commits and changes stay in proportion to what happened.
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "emulators.h"
+#include "scheduler_fixture.h"
 
 namespace shunttrail::test {
 namespace {
@@ -161,5 +164,33 @@
   }
 }
 
+// A task's result comes from a machine that an earlier attempt ran on, while a later attempt of it
+// is stored and not sent yet. It is never sent, since the task is done; and its placement was never
+// given up either, so that it held room on its machine and a part of its team's limit for as long
+// as the job had other tasks: "unsent":1 in a shard's log line for 200 s, and all of its team's
+// other work refused by its limit (Delegation.DrawnFaults..., seed 189; a leader that stands
+// still).
+TEST(Placements, AnUnsentStartOfATaskThatIsDoneIsGivenUp) {
+  SchedulerSite site;
+  site.machine("m-1", 0);
+  const wire::JobRecord job = site.job(1, 2, 4, false, 1);
+  site.commit(1);
+  auto used = [&] {
+    return nlohmann::json::parse(site.scheduler->summary())["used"].get<double>();
+  };
+  ASSERT_EQ(used(), 4);
+  site.machine("m-2", 2);
+  Worker& other = site.workers.at("m-2");
+  other.tasks = {{{job.spec.id, 0}, 3, TaskState::exited, wire::ExitReason::done, 0}};
+  site.report("m-2", 3);
+  site.report("m-1", 4);
+  EXPECT_EQ(site.live_tasks("m-1"), 0u);
+  site.report("m-1", 5);
+  site.report("m-1", 6);
+  const std::size_t waiting = 1;  // the job's other task, which has come to one of the machines
+  EXPECT_EQ(used(), 4.0 * waiting);
+  EXPECT_EQ(nlohmann::json::parse(site.scheduler->summary())["unsent"], 0);
+}
+
 }  // namespace
 }  // namespace shunttrail::test
