A stored start that is not sent is given up once its task is done

Cause: a task's result came from an earlier attempt's machine while a later attempt was stored and unsent; what is done is never sent, and only placements of jobs that are over were given up unsent, so it held its room and limit until its job ended. Change: the same for a task that is done (HeartbeatProcessor::release_if_absent); nothing is on its way, and nothing will be sent.

--- a/src/jobs/delegation.cpp
+++ b/src/jobs/delegation.cpp
@@ -95,7 +95,7 @@
   const wire::JobSpec& spec = job.record.spec;
   const wire::Delegation& delegation = *job.record.delegation;
   if (!delegation.is_readable) return std::vector<bool>(spec.tasks, true);
-  const std::vector<bool> placed = cache.placed(spec.id, delegation.shard, spec.tasks);
+  std::vector<bool> placed = cache.placed(spec.id, delegation.shard, spec.tasks);
   const bool is_any_placed = std::find(placed.begin(), placed.end(), true) != placed.end();
   if (is_closing_read(cache, job) && !(is_any_placed && spec.gang)) return placed;
   std::vector<bool> away = tasks_in(delegation.tasks, spec.tasks);
--- a/src/scheduler/heartbeat_processor.cpp
+++ b/src/scheduler/heartbeat_processor.cpp
@@ -185,7 +185,8 @@
     placements_.release(machine, placement, now);
     return true;
   }
-  if (placement.job->over && placement.phase == Phase::committed &&
+  const bool is_unwanted = placement.job->over || placement.job->done(placement.task);
+  if (is_unwanted && placement.phase == Phase::committed &&
       TokenPolicy::is_acknowledged(machine, placement)) {
     // Not there, nothing on its way, and none will be sent.
     placements_.release_for_good(machine, placement, now);
