--- a/src/jobs/delegation.cpp
+++ b/src/jobs/delegation.cpp
@@ -16,13 +16,9 @@
   return out;
 }
 
-void remove_done(const state::StateCache& cache, const std::string& id, std::vector<bool>& tasks) {
-  for (const auto& [chunk, intervals] : cache.done(id))
-    for (const auto& [first, last] : intervals)
-      for (std::uint64_t i = first; i <= last; ++i) {
-        const std::uint64_t task = std::uint64_t{chunk} * kTasksPerChunk + i;
-        if (task < tasks.size()) tasks[task] = false;
-      }
+void remove(std::vector<bool>& tasks, const std::vector<bool>& others) {
+  for (std::size_t task = 0; task < tasks.size(); ++task)
+    if (others[task]) tasks[task] = false;
 }
 
 void add(std::vector<bool>& tasks, const std::vector<bool>& more) {
@@ -99,7 +95,7 @@
   const bool is_any_placed = std::find(placed.begin(), placed.end(), true) != placed.end();
   if (is_closing_read(cache, job) && !(is_any_placed && spec.gang)) return placed;
   std::vector<bool> away = tasks_in(delegation.tasks, spec.tasks);
-  remove_done(cache, spec.id, away);
+  remove(away, done_tasks(cache.done(spec.id), spec.tasks));
   // A task that is done may still stand in a page, where nothing proves that no later attempt runs.
   add(away, placed);
   return away;
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -33,6 +33,18 @@
   return {units(cpus), units(gpus), units(mem_gb)};
 }
 
+std::vector<bool> done_tasks(const std::map<std::uint32_t, state::Intervals>& done,
+                             std::uint32_t tasks) {
+  std::vector<bool> out(tasks, false);
+  for (const auto& [chunk, intervals] : done)
+    for (const auto& [first, last] : intervals)
+      for (std::uint64_t i = first; i <= last; ++i) {
+        const std::uint64_t task = first_task(chunk) + i;
+        if (task < tasks) out[task] = true;
+      }
+  return out;
+}
+
 Job::Job(const wire::JobRecord& record, int team_index, int class_index, int zones, double now,
          double wall_now)
     : spec(record.spec),
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -48,6 +48,10 @@
 /// 128 intervals of 8 bytes, stays below 4 KiB. The largest job, of 100,000 tasks, has 391 chunks.
 inline constexpr std::uint32_t kTasksPerChunk = 256;
 
+/// Finished tasks by chunk, as StateCache::done tells them, as one flag for each of a job's tasks.
+[[nodiscard]] std::vector<bool> done_tasks(const std::map<std::uint32_t, state::Intervals>& done,
+                                           std::uint32_t tasks);
+
 /// The job.
 class Job {
  public:
--- a/src/scheduler/delegated_work.cpp
+++ b/src/scheduler/delegated_work.cpp
@@ -71,14 +71,10 @@
                                  const JobPtr& job, double now) {
   const wire::Delegation& delegation = *entry.record.delegation;
   if (!delegation.is_readable) return;
-  for (const auto& [chunk, intervals] : cache.done(job->spec.id, delegation.shard))
-    for (const auto& [first, last] : intervals)
-      for (std::uint64_t i = first; i <= last; ++i) {
-        const std::uint64_t task = std::uint64_t{chunk} * jobs::kTasksPerChunk + i;
-        if (task >= job->spec.tasks) break;
-        if (job->finish(static_cast<std::uint32_t>(task), now))
-          queues_.drop_task(job, static_cast<std::uint32_t>(task));
-      }
+  const std::vector<bool> done =
+      jobs::done_tasks(cache.done(job->spec.id, delegation.shard), job->spec.tasks);
+  for (std::uint32_t task = 0; task < job->spec.tasks; ++task)
+    if (done[task] && job->finish(task, now)) queues_.drop_task(job, task);
 }
 
 void DelegatedWork::withhold(const JobPtr& job, std::vector<bool> tasks, double now) {
--- a/src/scheduler/delegation_planner.cpp
+++ b/src/scheduler/delegation_planner.cpp
@@ -35,19 +35,6 @@
 
 bool is_urgent(const Job& job) { return job.priority_band() < Job::kGuaranteed; }
 
-/// Marks the tasks that the results hold.
-std::vector<bool> done_tasks(const std::map<std::uint32_t, wire::Intervals>& done,
-                             std::uint32_t tasks) {
-  std::vector<bool> out(tasks, false);
-  for (const auto& [chunk, intervals] : done)
-    for (const auto& [first, last] : intervals)
-      for (std::uint64_t i = first; i <= last; ++i) {
-        const std::uint64_t task = std::uint64_t{chunk} * jobs::kTasksPerChunk + i;
-        if (task < tasks) out[task] = true;
-      }
-  return out;
-}
-
 wire::Intervals intervals_of(std::vector<std::uint32_t> tasks) {
   std::sort(tasks.begin(), tasks.end());
   wire::Intervals out;
@@ -70,7 +57,7 @@
   const wire::JobSpec& spec = entry.record.spec;
   const wire::Delegation& delegation = *entry.record.delegation;
   const std::vector<bool> placed = cache.placed(spec.id, delegation.shard, spec.tasks);
-  const std::vector<bool> done = done_tasks(cache.done(spec.id), spec.tasks);
+  const std::vector<bool> done = jobs::done_tasks(cache.done(spec.id), spec.tasks);
   Progress out;
   for (const auto& [first, last] : delegation.tasks)
     for (std::uint32_t task = first; task <= last && task < spec.tasks; ++task) {
@@ -173,8 +160,8 @@
   const int other = entry.record.delegation->shard;
   const std::vector<bool> placed = cache.placed(spec.id, other, spec.tasks);
   if (std::find(placed.begin(), placed.end(), true) != placed.end()) return false;
-  const std::vector<bool> there = done_tasks(cache.done(spec.id, other), spec.tasks);
-  const std::vector<bool> here = done_tasks(cache.done(spec.id, shard), spec.tasks);
+  const std::vector<bool> there = jobs::done_tasks(cache.done(spec.id, other), spec.tasks);
+  const std::vector<bool> here = jobs::done_tasks(cache.done(spec.id, shard), spec.tasks);
   for (std::size_t task = 0; task < there.size(); ++task)
     if (there[task] && !here[task]) return false;
   return true;
@@ -252,7 +239,7 @@
     if (fit.tasks == 0) fit = offers.best_fit(*job, wanted);
     if (fit.tasks == 0 || fits_here(*job, draft.now)) continue;
     waiting_.longest_s = std::max(waiting_.longest_s, draft.now - job->since);
-    std::uint64_t* why = obstacle(draft.cache, *job, waiting.size(), fit, is_enabled, draft.now);
+    std::uint64_t* why = blocked_by(draft.cache, *job, waiting.size(), fit, is_enabled, draft.now);
     if (why) {
       *why += fit.tasks;
       continue;
@@ -286,9 +273,9 @@
 }
 
 // What keeps tasks that fit an offer from being delegated; null: nothing.
-std::uint64_t* DelegationPlanner::obstacle(const state::StateCache& cache, const Job& job,
-                                           std::size_t waiting, const OfferFit& fit,
-                                           bool is_enabled, double now) {
+std::uint64_t* DelegationPlanner::blocked_by(const state::StateCache& cache, const Job& job,
+                                             std::size_t waiting, const OfferFit& fit,
+                                             bool is_enabled, double now) {
   const std::string& id = job.spec.id;
   const state::JobEntry* entry = cache.job(id);
   if (!is_enabled || !entry) return &waiting_.disabled;
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -418,6 +418,15 @@
   const std::optional<wire::Delegation>& delegation(const std::string& id) const {
     return cache_.job(id)->record.delegation;
   }
+  // The red shard's machine is full, and two more tasks run on the other one.
+  void run_two_elsewhere() {
+    submit(make_job(1, 4, 1));
+    pass(3);
+    submit(make_job(2, 2, 1));
+    pass(30);
+    ASSERT_EQ(on(1), 2u);
+    ASSERT_TRUE(delegation("run-100002"));
+  }
   void end_all(int worker) {
     for (auto& task : workers_[static_cast<std::size_t>(worker)].tasks) {
       if (task.id.job == "run-100009" || task.state != wire::TaskState::running) continue;
@@ -508,11 +517,7 @@
 }
 
 TEST_F(TwoShards, ACancelledJobsTasksEndThereToo) {
-  submit(make_job(1, 4, 1));
-  pass(3);
-  submit(make_job(2, 2, 1));
-  pass(30);
-  ASSERT_EQ(on(1), 2u);
+  run_two_elsewhere();
   store_.commit({{}, {{state::job_key("run-100002"), std::nullopt, 0}}});
   read();
   pass(6);
@@ -521,11 +526,7 @@
 
 // Where the version is lowered, delegations end, and no other begins.
 TEST_F(TwoShards, ALowerVersionTakesThemBack) {
-  submit(make_job(1, 4, 1));
-  pass(3);
-  submit(make_job(2, 2, 1));
-  pass(30);
-  ASSERT_TRUE(delegation("run-100002"));
+  run_two_elsewhere();
   store_.commit(
       {{}, {{schema::kActiveKey, schema::encode(schema::VersionRecord{1, 1, 2, "t"}), 0}}});
   read();
