Cloud lists reveal recorded machines that left the cloud before this process started

What callers saw: the last tasks of a job had no result for minutes. A leader had the cloud delete a machine and was killed before it removed the machine from the inventory; its successors, each killed within seconds, waited for a machine that does not exist. Cause: a process compared the cloud's list only with machines that it had seen listed itself. A machine that had left the cloud before the process started was given up only by silence (13 s for its placements, 24 s for the machine in a local cluster) or after a boot time-out of 60 s, all counted from the opening of the scheduler. And a report that came before the machine had been silent for long enough was never repeated. Change: cloud::MissingMachines. A recorded machine is expected in each list that was requested later than twice the list's lag (and 2 s) after its rental, by the time in the inventory. After two lists without it, it is reported after each list until it has left the inventory. A machine that is given up for the cloud's account is logged. Why this works: two lists are six seconds apart and need no earlier life of the process; the deletion that follows is the proof that releases the placements, as before.

--- a/src/controller/cloud_manager.cpp
+++ b/src/controller/cloud_manager.cpp
@@ -18,9 +18,11 @@
 constexpr double kListCallShare = 0.2;
 /// Number of machines on one page of the list.
 constexpr double kListPageMachines = 500;
-/// Number of consecutive lists that must lack a machine before it counts as gone: lists may be
-/// received out of order.
-constexpr int kMissingListsUntilGone = 2;
+/// A list lags by up to this many times the settings' lag (PROTOCOL, GET /rentals).
+constexpr double kMaxListLags = 2;
+/// Added, in seconds, to the greatest age of a list, for the error of the wall clocks that recorded
+/// the times of the rentals.
+constexpr double kListAgeMarginS = 2;
 /// Time for which a machine must be listed without an inventory record before it is adopted.
 constexpr double kAdoptAfterS = 20;
 /// Time for which heartbeats of a deleted machine are refused.
@@ -31,18 +33,36 @@
 }  // namespace
 
 CloudManager::CloudManager(actor::Loop& loop, ControllerComponents& components)
-    : Actor(loop), components_(components), client_(loop, components.settings) {
+    : Actor(loop),
+      components_(components),
+      client_(loop, components.settings),
+      missing_machines_(kMaxListLags * components.settings.list_lag_s + kListAgeMarginS) {
   components_.state_store->listen(
       reply<Changes>([this](const Changes& changes) { on_changes(*changes); }));
 }
 
+void CloudManager::on_changes(const std::vector<state::Change>& changes) {
+  for (const auto& change : changes) {
+    if (change.kind == state::Change::machine_set) on_machine_set(change.name);
+    if (change.kind == state::Change::machine_deleted) on_machine_deleted(change.name);
+  }
+}
+
+// The cloud must list a recorded machine even if no list that this process has read contains it:
+// the machine may have left the cloud before the process started.
+void CloudManager::on_machine_set(const std::string& name) {
+  const wire::MachineRecord* machine = components_.state_store->cache().machine(name);
+  if (!machine) return;
+  const double age_s = machine->rented_at > 0 ? loop_.wall_now() - machine->rented_at : 0;
+  missing_machines_.rented(name, loop_.now() - std::max(0.0, age_s));
+}
+
 // A machine that has left the inventory is deleted, whichever node deleted it. Recording this keeps
 // a late copy of one of its heartbeats from having it adopted again.
-void CloudManager::on_changes(const std::vector<state::Change>& changes) {
-  const state::StateCache& cache = components_.state_store->cache();
-  for (const auto& change : changes)
-    if (change.kind == state::Change::machine_deleted && !cache.machine(change.name))
-      deleted_at_[change.name] = loop_.now();
+void CloudManager::on_machine_deleted(const std::string& name) {
+  if (components_.state_store->cache().machine(name)) return;
+  deleted_at_[name] = loop_.now();
+  missing_machines_.deleted(name);
 }
 
 const std::string* CloudManager::address(const std::string& machine) const {
@@ -187,7 +207,7 @@
 // Every node reads the list to check its own machines. The node that leads the first shard also
 // adopts listed machines that have no inventory record.
 void CloudManager::start_list() {
-  current_list_.clear();
+  missing_machines_.list_started(loop_.now());
   read_list_page("");
 }
 
@@ -207,8 +227,7 @@
 }
 
 void CloudManager::on_listed(const wire::ListedMachine& machine) {
-  current_list_.insert(machine.name);
-  listed_machines_.insert(machine.name);
+  missing_machines_.listed(machine.name);
   known_machines_[machine.name] = {machine.addr, loop_.wall_now() - machine.age_s};
   if (const auto* record = components_.state_store->cache().machine(machine.name))
     on_listed_recorded(machine, record->shard);
@@ -236,38 +255,28 @@
 }
 
 void CloudManager::finish_list() {
-  report_unlisted();
+  report_missing();
   is_listing_ = false;
   next_list_at_ = loop_.now() + list_interval();
 }
 
-// Reports machines that have been missing from several consecutive lists: a machine that was listed
-// once stays in the list until it is gone.
-void CloudManager::report_unlisted() {
-  for (auto it = listed_machines_.begin(); it != listed_machines_.end();) {
-    const std::string& name = *it;
-    if (current_list_.contains(name)) {
-      missing_from_lists_.erase(name);
-      ++it;
-      continue;
-    }
-    if (++missing_from_lists_[name] < kMissingListsUntilGone) {
-      ++it;
-      continue;
-    }
+// Reports the machines that have left the cloud. Those that the inventory holds are reported after
+// each list until they have left the inventory: a shard's leader may have changed since the last
+// report, or may not have taken the machine as lost yet.
+void CloudManager::report_missing() {
+  for (const std::string& name : missing_machines_.list_finished()) {
     for (const auto& controller : components_.shard_controllers)
       controller->machine_failed(name, true);
-    missing_from_lists_.erase(name);
     unrecorded_since_.erase(name);
     known_machines_.erase(name);
-    it = listed_machines_.erase(it);
+    if (!components_.state_store->cache().machine(name)) missing_machines_.deleted(name);
   }
 }
 
 // Returns the interval between two reads of the list, in seconds. Long lists are read less often,
 // since each page takes one call.
 double CloudManager::list_interval() const {
-  const double pages = 1 + static_cast<double>(current_list_.size()) / kListPageMachines;
+  const double pages = 1 + static_cast<double>(missing_machines_.list_size()) / kListPageMachines;
   const double calls_per_s =
       components_.settings.cloud_rps / components_.settings.shards() * kListCallShare;
   return std::max(kMinListIntervalS, pages / calls_per_s);
--- a/src/controller/cloud_manager.h
+++ b/src/controller/cloud_manager.h
@@ -3,12 +3,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "cloud/cloud.h"
+#include "cloud/missing_machines.h"
 #include "controller/components.h"
 #include "controller/shard_controller.h"
 #include "scheduler/shard_scheduler.h"
@@ -47,6 +47,8 @@
     double rented_at = 0;  ///< Time of day, seconds.
   };
   void on_changes(const std::vector<state::Change>& changes);
+  void on_machine_set(const std::string& name);
+  void on_machine_deleted(const std::string& name);
   void load_types();
   void collect_requests();
   [[nodiscard]] int next_shard_to_return() const;
@@ -62,7 +64,7 @@
   void on_listed_recorded(const wire::ListedMachine& machine, int shard);
   void on_listed_unrecorded(const wire::ListedMachine& machine);
   void finish_list();
-  void report_unlisted();
+  void report_missing();
   [[nodiscard]] double list_interval() const;
 
   ControllerComponents& components_;
@@ -81,11 +83,7 @@
 
   double next_list_at_ = 0;
   bool is_listing_ = false;
-  /// Machines that appeared in a list and are not known to be gone.
-  std::set<std::string> listed_machines_;
-  std::set<std::string> current_list_;  ///< Machines in the list that is being read.
-  /// For machines of `listed_machines_`: how many consecutive lists did not contain them.
-  std::map<std::string, int> missing_from_lists_;
+  cloud::MissingMachines missing_machines_;
   /// Listed machines without an inventory record, and since when (loop time).
   std::map<std::string, double> unrecorded_since_;
   std::unordered_map<std::string, KnownMachine> known_machines_;
--- a/src/controller/shard_controller.cpp
+++ b/src/controller/shard_controller.cpp
@@ -130,7 +130,9 @@
 
 void ShardController::machine_failed(std::string machine, bool is_unlisted) {
   post([this, machine = std::move(machine), is_unlisted] {
-    if (scheduler_) scheduler_->machine_failed(machine, is_unlisted, now());
+    if (scheduler_ && scheduler_->machine_failed(machine, is_unlisted, now()))
+      spdlog::info("shard {}: giving up machine {}: {}", shard(), machine,
+                   is_unlisted ? "the cloud does not list it" : "the cloud lists it as failed");
   });
 }
 
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -175,9 +175,9 @@
   queues_.requeue_all(*machine);
 }
 
-void ShardScheduler::machine_failed(const std::string& name, bool unlisted, double now) {
+bool ShardScheduler::machine_failed(const std::string& name, bool unlisted, double now) {
   Machine* machine = machines_.find(name);
-  if (!machine || machine->lost) return;
+  if (!machine || machine->lost) return false;
   // The cloud's list may be out of date. A machine that it does not contain is lost only if it has
   // also been silent for longer than a list can be out of date. It need not have sent a heartbeat
   // to this leader: otherwise the tasks of a machine that was taken away just before a takeover
@@ -185,9 +185,10 @@
   const config::Settings& settings = context_.settings;
   const double max_silence_s =
       std::max(2 * settings.heartbeat_s, 3 * settings.list_lag_s + kListLagMarginS);
-  if (unlisted && now - machine->last_heartbeat < max_silence_s) return;
+  if (unlisted && now - machine->last_heartbeat < max_silence_s) return false;
   give_up_machine(*machine);
   queues_.requeue_all(*machine);
+  return true;
 }
 
 // ---- workers
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -176,8 +176,8 @@
   }
   void return_failed(const std::string& name) { rentals_.return_failed(name); }
   /// Handles that, by the cloud's account, the machine has stopped by itself or is no longer listed
-  /// (`unlisted`).
-  void machine_failed(const std::string& name, bool unlisted, double now);
+  /// (`unlisted`). Returns true if the machine is given up on for this reason.
+  bool machine_failed(const std::string& name, bool unlisted, double now);
 
   // ---- other shards
 
