review: a script that can't run ends its processes and exits with 2

Need: an error of the rig must not look like a broken rule, and must leave no process. Change: rig.py gives up after 117 s, at a signal and at any error of its own, and ends what it started.

--- a/review/rig.py
+++ b/review/rig.py
@@ -20,6 +20,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TARGET = os.path.join(ROOT, "target")
 LOOPBACK = "127.0.0.1"
+MOST_S = 117  # a script that has not ended by then gives up
 
 
 class CannotRun(Exception):
@@ -313,11 +314,20 @@
         for program in ("shunttrail-controller", "shunttrail-agent", "shunttrail-local"):
             if not os.access(os.path.join(TARGET, program), os.X_OK):
                 raise CannotRun("target/%s is missing" % program)
+        self.cloud = self.state = None
+        try:
+            self.start_services(teams, types, most_machines, zones, controllers, boot_s,
+                                next_limits)
+        except BaseException:
+            self.close()
+            raise
+
+    def start_services(self, teams, types, most_machines, zones, controllers, boot_s, next_limits):
+        record = self.record
         self.state_port, self.depot_port = free_port(), free_port()
         self.limits = {"rps": 80.0, "write_rps": 25.0, "value_kb": 4.0, "txn_ops": 12}
         state = dict(self.limits)
         emulator_port = self.state_port
-        self.state = None
         if next_limits:
             state["next"] = next_limits
             emulator_port = free_port()
@@ -420,8 +430,10 @@
                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, check=False)
 
     def close(self):
+        signal.alarm(0)
         self.closing = True
-        self.cloud.close()
+        if self.cloud:
+            self.cloud.close()
         if self.state:
             self.state.server.close()
         for process in reversed(self.processes):
@@ -545,11 +557,18 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.line("TROUBLE=%d" % trouble)
+
+    def give_up(number, frame):
+        raise CannotRun("ended by signal %d" % number)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(MOST_S)
     try:
         held, why = case(record, trouble)
-    except CannotRun as error:
-        record.line("the case could not run: %s" % error)
-        print("the case could not run: %s" % error)
+    except Exception as error:  # whatever goes wrong here says nothing about the rule
+        record.line("the case could not run: %r" % error)
+        print("the case could not run: %r" % error)
         return 2
     record.line(("held: " if held else "BROKEN: ") + why)
     print(("held: " if held else "BROKEN: ") + why)
