--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,108 +1,139 @@
-"""A running task loses its image when its machine's agent is killed and started again."""
-import io
-import json
+"""Tasks run twice after all controllers were away for longer than a lease."""
 import os
+import signal
 import sys
-import tarfile
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 import rig  # noqa: E402
 
-TEAMS = [{"name": "media-crew", "cpus": 8.0, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0}]
-# Images of 7 GB and a cache of 10 GB (the agent's default), both divided by 10,000.
-CACHE_GB = 0.001
-IMAGE_BYTES = 700000
-TYPES = [{"name": "mixdesk-4", "vcpus": 4.0, "cards": 0.0, "mem_gb": 16.0, "local_gb": CACHE_GB,
-          "fetch_gb_per_s": 1.0, "hourly": 0.68, "market_price": 0.19, "startup_s": 30.0,
-          "yards": ["coimbra-vale", "lisboa-oriente", "porto-norte"]}]
-
-# Reads a file of its image when it starts, and again for each of its steps.
-SWEEP = r"""
-echo "start $SHUNT_JOB $SHUNT_ATTEMPT $(cat "$SHUNT_IMAGE_DIR/model")" >>"$LEDGER"
-for step in $(seq 1 24); do
-  sleep 0.5
-  model=$(cat "$SHUNT_IMAGE_DIR/model") || {
-    echo "image-gone $SHUNT_JOB $SHUNT_ATTEMPT $step" >>"$LEDGER"
-    echo "step $step: the image is gone"
-    exit 3
-  }
-done
-echo "end $SHUNT_JOB $SHUNT_ATTEMPT $model" >>"$LEDGER"
-echo "complete with $model"
-"""
-
+TEAMS = [{"name": "bridge-ops", "cpus": 136.0, "cpus_max": 320.0, "gpus": 0.0, "gpus_max": 0.0}]
+TYPES = [{"name": "mixdesk-2", "vcpus": 2.0, "cards": 0.0, "mem_gb": 32.0, "local_gb": 60.0,
+          "fetch_gb_per_s": 1.0, "hourly": 0.68, "market_price": 0.19, "startup_s": 35.0,
+          "yards": ["port-of-spain", "san-fernando"]}]
+# As in deploy/local.xml.
+WORKERS = {"report_s": 1.0, "lease_s": 6.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0,
+           "cancel_s": 14.0}
+TASKS = 32  # sixteen machines full of tasks of 1 CPU
+AWAY_S = 9
+ROUNDS = 5
 
-def image(name):
-    data = io.BytesIO()
-    with tarfile.open(fileobj=data, mode="w", format=tarfile.PAX_FORMAT) as archive:
-        for file, content in (("model", name.encode()), ("weights", os.urandom(IMAGE_BYTES))):
-            info = tarfile.TarInfo(file)
-            info.size = len(content)
-            info.mode = 0o644
-            archive.addfile(info, io.BytesIO(content))
-    return data.getvalue()
+# The task's program does its work in a session of its own and with an environment of its own, as
+# programs do that are started by sudo, su - or cron. It has a pool of eight processes, and all ends by
+# itself after 100 s.
+WORK = r"""
+echo "start $SHUNT_TASK $SHUNT_ATTEMPT $SHUNT_MACHINE $(date +%s.%N) $$" >>"$LEDGER"
+setsid env -i PATH="$PATH" sh -c '
+  for k in 1 2 3 4 5 6 7 8; do
+    bash -c "exec -a \"$4\" sleep 100" &
+    echo "pool $1 $2 $3 $(date +%s.%N) $!" >>"$4"
+  done
+  i=0
+  while [ $i -lt 200 ]; do
+    echo "work $1 $2 $3 $(date +%s.%N) $$" >>"$4"
+    sleep 0.5
+    i=$((i + 1))
+  done' work "$SHUNT_TASK" "$SHUNT_ATTEMPT" "$SHUNT_MACHINE" "$LEDGER" &
+wait
+"""
 
 
-def lines(path, word):
+def ledger(path):
+    """Returns [(what, task, attempt, machine, time, process)]."""
     if not os.path.exists(path):
         return []
     with open(path, encoding="utf-8") as file:
-        return [line for line in file.read().splitlines() if line.startswith(word + " ")]
+        lines = [line.split() for line in file.read().splitlines()]
+    return [(w, int(t), int(a), m, float(at), int(p)) for w, t, a, m, at, p in
+            (line for line in lines if len(line) == 6)]
+
+
+def end_survivors(path):
+    """Ends, by its id, each process of a task that is still there."""
+    for process in {line[5] for line in ledger(path)}:
+        try:
+            with open("/proc/%d/cmdline" % process, "rb") as file:
+                own = path.encode() in file.read()
+            if own:
+                os.kill(process, signal.SIGKILL)
+        except OSError:
+            pass
 
 
 def case(record, trouble):
-    cluster = rig.Cluster(record, TEAMS, TYPES, most_machines=1, cache_gb=CACHE_GB)
+    """Up to five rounds, each with a fresh deployment and one disruption: whether the agent or the
+    tasks' supervisors are first at the end of the lease is a matter of milliseconds."""
+    for number in range(1, ROUNDS + 1):
+        record.line("round %d" % number)
+        held, why = one_round(record, trouble)
+        if not held:
+            return False, "round %d: %s" % (number, why)
+    return True, "in %d rounds no task ran on two machines" % ROUNDS
+
+
+def one_round(record, trouble):
+    cluster = rig.Cluster(record, TEAMS, TYPES, most_machines=16, workers=WORKERS,
+                          zones=("port-of-spain", "san-fernando"))
+    path = os.path.join(cluster.dir, "ledger")
+    cluster.at_close = lambda: end_survivors(path)
     try:
-        return play(cluster, record, trouble)
+        return play(cluster, record, trouble, path)
     finally:
         cluster.close()
 
 
-def play(cluster, record, trouble):
-    path = os.path.join(cluster.dir, "ledger")
+def play(cluster, record, trouble, path):
     for i in range(3):
         cluster.start_controller(i)
     cluster.wait_for(lambda: cluster.leads(0, 0), 20, "the shard has no leader")
-    jobs = []
-    for number in (1, 2):
-        name = "model-%d" % number
-        digest = cluster.put_blob(image(name))
-        jobs.append(cluster.job(number, "media-crew", ["bash", "-c", SWEEP], vcpus=2.0,
-                                manifest=name, size_gb=0.00007, run_s=12.0, image=digest,
-                                env={"LEDGER": path}))
-    cluster.wait_for(lambda: len(lines(path, "start")) == 2, 30, "the two tasks do not start")
+    cluster.job(1, "bridge-ops", ["bash", "-c", WORK], cars=TASKS, vcpus=1.0, run_s=100.0,
+                env={"LEDGER": path})
+
+    def started(attempts):
+        tasks = {}
+        for what, task, attempt, _, _, _ in ledger(path):
+            if what == "start":
+                tasks.setdefault(task, set()).add(attempt)
+        return sum(len(a) >= attempts for a in tasks.values())
+
+    cluster.wait_for(lambda: started(1) == TASKS, 40, "the tasks do not start", interval=0.5)
     time.sleep(2)
     if trouble:
-        # The disruption: the agent dies while its tasks run, and is back after 2 s.
-        with cluster.cloud.lock:
-            machine = next(iter(cluster.cloud.machines.values()))
-        record.line("trouble: SIGKILL to the agent of %s" % machine["name"])
-        cluster.kill(machine["process"])
-        time.sleep(2)
-        machine["process"] = cluster.start_agent(machine)
-    results = {}
-
-    def over():
-        for job in jobs:
-            status, text = rig.request(cluster.depot_port, "GET", "/depot/names/results/%s/0" % job)
-            if status == 200:
-                results[job] = json.loads(text)["value"]
-        return len(results) == 2
-
-    cluster.wait_for(over, 50, "the tasks have no results")
-    for job in jobs:
-        cluster.wait_for(lambda: cluster.user("GET", "/v2/runs/" + job)[1]["signal"] == "done", 20,
-                         job + " is not done", interval=1)
-        result = results[job]
-        status, output = rig.request(cluster.depot_port, "GET", "/depot/blobs/" + result["out"])
-        record.line("%s: result %s, output %r" % (job, result, output))
-    for line in lines(path, "start") + lines(path, "image-gone") + lines(path, "end"):
-        record.line("ledger: " + line)
-    gone = lines(path, "image-gone")
-    return not gone, "%d of 2 running tasks lost their image; results: %s" % (
-        len(gone), {job: results[job]["exit"] for job in jobs})
+        # The disruption: all controllers are away for longer than lease_s.
+        record.line("trouble: SIGKILL to all controllers, back after %d s" % AWAY_S)
+        for node in cluster.nodes:
+            cluster.kill(node["process"])
+        time.sleep(AWAY_S)
+        for i in range(3):
+            cluster.start_controller(i)
+        cluster.wait_for(lambda: started(2) >= TASKS * 3 / 4, 30, "the tasks do not start again",
+                         interval=0.5)
+        time.sleep(3)
+    else:
+        time.sleep(AWAY_S + 3)
+
+    starts = sorted((line for line in ledger(path) if line[0] == "start"), key=lambda line: line[4])
+    last_work = {}
+    for what, task, attempt, machine, at, process in ledger(path):
+        if what == "work":
+            last_work[task, attempt] = (at, machine, process)
+    twice = []
+    for _, task, attempt, machine, at, _ in starts:
+        for (other_task, other), (worked_at, other_machine, process) in last_work.items():
+            if other_task == task and other < attempt and worked_at > at + 1:
+                twice.append(task)
+                record.line("task %d: attempt %d started on %s while attempt %d works on %s "
+                            "(process %d), and does so %.1f s later" %
+                            (task, attempt, machine, other, other_machine, process, worked_at - at))
+                if machine != other_machine:
+                    twice[-1] = -task - 1
+    elsewhere = sum(task < 0 for task in twice)
+    record.line("%d starts; %d tasks run twice, %d of them on two machines" %
+                (len(starts), len(twice), elsewhere))
+    return elsewhere == 0, ("%d of %d tasks started on one machine while their earlier attempt ran "
+                            "on another (%d more: on the same machine)" %
+                            (elsewhere, TASKS, len(twice) - elsewhere))
 
 
 if __name__ == "__main__":
--- a/review/rig.py
+++ b/review/rig.py
@@ -304,6 +304,7 @@
                  workers=None, cache_gb=10, controllers=3, boot_s=1.0,
                  next_limits=None):
         self.record = record
+        self.at_close = lambda: None
         self.closing = False
         self.processes = []
         self.dir = tempfile.mkdtemp(prefix="shunt-review-")
@@ -430,7 +431,6 @@
                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, check=False)
 
     def close(self):
-        signal.alarm(0)
         self.closing = True
         if self.cloud:
             self.cloud.close()
@@ -438,6 +438,7 @@
             self.state.server.close()
         for process in reversed(self.processes):
             self.kill(process)
+        self.at_close()
         if os.environ.get("KEEP"):
             print(self.dir)
         else:
@@ -567,6 +568,7 @@
     try:
         held, why = case(record, trouble)
     except Exception as error:  # whatever goes wrong here says nothing about the rule
+        signal.alarm(0)
         record.line("the case could not run: %r" % error)
         print("the case could not run: %r" % error)
         return 2
