--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,6 @@
-"""Tasks run twice after all controllers were away for longer than a lease."""
+"""Accepted jobs never run after the state service has lowered its limits."""
+import json
 import os
-import signal
 import sys
 import time
 
@@ -8,132 +8,110 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import rig  # noqa: E402
 
-TEAMS = [{"name": "bridge-ops", "cpus": 136.0, "cpus_max": 320.0, "gpus": 0.0, "gpus_max": 0.0}]
-TYPES = [{"name": "mixdesk-2", "vcpus": 2.0, "cards": 0.0, "mem_gb": 32.0, "local_gb": 60.0,
-          "fetch_gb_per_s": 1.0, "hourly": 0.68, "market_price": 0.19, "startup_s": 35.0,
-          "yards": ["port-of-spain", "san-fernando"]}]
-# As in deploy/local.xml.
-WORKERS = {"report_s": 1.0, "lease_s": 6.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0,
-           "cancel_s": 14.0}
-TASKS = 32  # sixteen machines full of tasks of 1 CPU
-AWAY_S = 9
-ROUNDS = 5
-
-# The task's program does its work in a session of its own and with an environment of its own, as
-# programs do that are started by sudo, su - or cron. It has a pool of eight processes, and all ends by
-# itself after 100 s.
-WORK = r"""
-echo "start $SHUNT_TASK $SHUNT_ATTEMPT $SHUNT_MACHINE $(date +%s.%N) $$" >>"$LEDGER"
-setsid env -i PATH="$PATH" sh -c '
-  for k in 1 2 3 4 5 6 7 8; do
-    bash -c "exec -a \"$4\" sleep 100" &
-    echo "pool $1 $2 $3 $(date +%s.%N) $!" >>"$4"
-  done
-  i=0
-  while [ $i -lt 200 ]; do
-    echo "work $1 $2 $3 $(date +%s.%N) $$" >>"$4"
-    sleep 0.5
-    i=$((i + 1))
-  done' work "$SHUNT_TASK" "$SHUNT_ATTEMPT" "$SHUNT_MACHINE" "$LEDGER" &
-wait
-"""
-
-
-def ledger(path):
-    """Returns [(what, task, attempt, machine, time, process)]."""
-    if not os.path.exists(path):
-        return []
-    with open(path, encoding="utf-8") as file:
-        lines = [line.split() for line in file.read().splitlines()]
-    return [(w, int(t), int(a), m, float(at), int(p)) for w, t, a, m, at, p in
-            (line for line in lines if len(line) == 6)]
-
-
-def end_survivors(path):
-    """Ends, by its id, each process of a task that is still there."""
-    for process in {line[5] for line in ledger(path)}:
-        try:
-            with open("/proc/%d/cmdline" % process, "rb") as file:
-                own = path.encode() in file.read()
-            if own:
-                os.kill(process, signal.SIGKILL)
-        except OSError:
-            pass
+# The limits of kit/change/placafacil-sede-next.toml: those of its [state], and those of its fault
+# `state_limits`, which the settings announce as state.next.
+NEXT = {"rps": 80.0, "write_rps": 18.0, "value_kb": 2.0, "txn_ops": 4}
+TEAMS = [{"name": "equipa-cam-0%d" % i, "cpus": c, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0}
+         for i, c in enumerate((6.0, 4.0, 2.0))]
+ZONES = ["coimbra-vale", "lisboa-oriente", "porto-norte"]
+
+
+def machine_type(name):
+    return {"name": name, "vcpus": 8.0, "cards": 0.0, "mem_gb": 16.0, "local_gb": 50.0,
+            "fetch_gb_per_s": 1.0, "hourly": 0.45, "market_price": 0.15, "startup_s": 30.0,
+            "yards": ZONES}
+
+
+# The cloud's catalogue, as large as those of public clouds.
+NAMES = ["bancada-8"] + ["bancada-8-%02d" % i for i in range(1, 100)]
+TYPES = [machine_type(name) for name in NAMES]
+WAIT_S = 90
 
 
 def case(record, trouble):
-    """Up to five rounds, each with a fresh deployment and one disruption: whether the agent or the
-    tasks' supervisors are first at the end of the lease is a matter of milliseconds."""
-    for number in range(1, ROUNDS + 1):
-        record.line("round %d" % number)
-        held, why = one_round(record, trouble)
-        if not held:
-            return False, "round %d: %s" % (number, why)
-    return True, "in %d rounds no task ran on two machines" % ROUNDS
-
-
-def one_round(record, trouble):
-    cluster = rig.Cluster(record, TEAMS, TYPES, most_machines=16, workers=WORKERS,
-                          zones=("port-of-spain", "san-fernando"))
-    path = os.path.join(cluster.dir, "ledger")
-    cluster.at_close = lambda: end_survivors(path)
+    cluster = rig.Cluster(record, TEAMS, TYPES, most_machines=2, next_limits=NEXT)
     try:
-        return play(cluster, record, trouble, path)
+        return play(cluster, record, trouble)
     finally:
         cluster.close()
 
 
-def play(cluster, record, trouble, path):
+def stored(cluster, key):
+    """Returns the stored value and its size in bytes; None if the key does not exist."""
+    status, text = rig.request(cluster.state_port, "GET", "/kv/" + key)
+    if status != 200:
+        return None
+    value = json.loads(text)["value"]
+    return len(json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode())
+
+
+def large_job(cluster, number, needed, size):
+    """Submits a job that may run on most of the cloud's types, and whose record has about `size`
+    bytes, which is within the limit of value_kb."""
+    fields = {"awaits": [needed], "vcpus": 1.0, "stock_types": [], "consist": "panel-layout"}
+
+    def record_size():
+        job = {"uid": "run-%06d" % number, "crew": "equipa-cam-00", "haul": "batch",
+               "precedence": "standard", "cars": 1, "vcpus": 1.0, "cards": 0.0, "mem_gb": 1.0,
+               "manifest": "none", "size_gb": 0.1, "same_place": False, "scatter": False,
+               "borrowed_stock": False, "run_s": 60.0, "milepost_s": 0.0, "couple_s": 0.0,
+               "consist": fields["consist"], "stock_types": fields["stock_types"],
+               "needs": needed[4:], "at": 1796364123.1234567}
+        return len(json.dumps(job, separators=(",", ":")))
+
+    for name in NAMES:
+        fields["stock_types"].append(name)
+        if record_size() > size:
+            fields["stock_types"].pop()
+            break
+    fields["consist"] += "-" * (size - record_size())
+    return cluster.job(number, "equipa-cam-00", ["true"], **fields)
+
+
+def play(cluster, record, trouble):
     for i in range(3):
         cluster.start_controller(i)
-    cluster.wait_for(lambda: cluster.leads(0, 0), 20, "the shard has no leader")
-    cluster.job(1, "bridge-ops", ["bash", "-c", WORK], cars=TASKS, vcpus=1.0, run_s=100.0,
-                env={"LEDGER": path})
-
-    def started(attempts):
-        tasks = {}
-        for what, task, attempt, _, _, _ in ledger(path):
-            if what == "start":
-                tasks.setdefault(task, set()).add(attempt)
-        return sum(len(a) >= attempts for a in tasks.values())
-
-    cluster.wait_for(lambda: started(1) == TASKS, 40, "the tasks do not start", interval=0.5)
-    time.sleep(2)
+    cluster.wait_for(lambda: all(cluster.leads(i, i) for i in range(3)), 20,
+                     "the shards have no leaders")
+    # A service keeps a machine with 7 free CPUs in use.
+    cluster.job(1, "equipa-cam-00", ["sleep", "1000"], haul="service", vcpus=1.0, run_s=0.0)
+    cluster.wait_for(lambda: cluster.where("run-000001/0"), 20, "the service does not run")
+
+    needed = cluster.job(2, "equipa-cam-00", ["sleep", "4"], vcpus=1.0, run_s=4.0)
+    large = large_job(cluster, 3, needed, int(NEXT["value_kb"] * 1024))
+    others = [cluster.job(number, "equipa-cam-00", ["true"], awaits=[needed], vcpus=1.0)
+              for number in (4, 5, 6)]
+    record.line("%s waits; its record has %s bytes" % (large, stored(cluster, "st/w/" + large)))
     if trouble:
-        # The disruption: all controllers are away for longer than lease_s.
-        record.line("trouble: SIGKILL to all controllers, back after %d s" % AWAY_S)
-        for node in cluster.nodes:
-            cluster.kill(node["process"])
-        time.sleep(AWAY_S)
-        for i in range(3):
-            cluster.start_controller(i)
-        cluster.wait_for(lambda: started(2) >= TASKS * 3 / 4, 30, "the tasks do not start again",
-                         interval=0.5)
-        time.sleep(3)
-    else:
-        time.sleep(AWAY_S + 3)
-
-    starts = sorted((line for line in ledger(path) if line[0] == "start"), key=lambda line: line[4])
-    last_work = {}
-    for what, task, attempt, machine, at, process in ledger(path):
-        if what == "work":
-            last_work[task, attempt] = (at, machine, process)
-    twice = []
-    for _, task, attempt, machine, at, _ in starts:
-        for (other_task, other), (worked_at, other_machine, process) in last_work.items():
-            if other_task == task and other < attempt and worked_at > at + 1:
-                twice.append(task)
-                record.line("task %d: attempt %d started on %s while attempt %d works on %s "
-                            "(process %d), and does so %.1f s later" %
-                            (task, attempt, machine, other, other_machine, process, worked_at - at))
-                if machine != other_machine:
-                    twice[-1] = -task - 1
-    elsewhere = sum(task < 0 for task in twice)
-    record.line("%d starts; %d tasks run twice, %d of them on two machines" %
-                (len(starts), len(twice), elsewhere))
-    return elsewhere == 0, ("%d of %d tasks started on one machine while their earlier attempt ran "
-                            "on another (%d more: on the same machine)" %
-                            (elsewhere, TASKS, len(twice) - elsewhere))
+        # The disruption: the announced limits apply from now on.
+        record.line("trouble: the state service lowers its limits to %s" % NEXT)
+        cluster.state.set_limits(NEXT)
+    waiting = [large] + others
+
+    def signal_of(job):
+        return cluster.user("GET", "/v2/runs/" + job)[1]["signal"]
+
+    cluster.wait_for(lambda: signal_of(needed) == "done", 30, needed + " is not done", interval=0.5)
+    done_at = time.monotonic()
+    states = {}
+    while time.monotonic() < done_at + WAIT_S + 1:
+        states = {job: signal_of(job) for job in waiting if states.get(job) != "done"} | {
+            job: "done" for job, state in states.items() if state == "done"}
+        if all(state == "done" for state in states.values()):
+            break
+        time.sleep(5)
+    waited = time.monotonic() - done_at
+    reports = cluster.reports()
+    for name, report in reports.items():
+        record.line("report of %s: %s" % (name, report["cars"]))
+    room = any(sum(car["signal"] != "exited" for car in report["cars"]) < 8
+               for report in reports.values())
+    left = [job for job in waiting if states[job] == "queued"]
+    if left and not room:
+        raise rig.CannotRun("no machine has room")
+    record.line("%d transactions were refused as too large" % cluster.state.refused)
+    return not left, ("%.0f s after the job that they need was done, %d of %d jobs are still queued "
+                      "beside a machine with room: %s" % (waited, len(left), len(waiting), left))
 
 
 if __name__ == "__main__":
