--- a/src/controller/job_results.cpp
+++ b/src/controller/job_results.cpp
@@ -8,6 +8,7 @@
 
 #include "controller/schema_manager.h"
 #include "controller/shard_controller.h"
+#include "jobs/state_transitions.h"
 
 namespace shunttrail::controller {
 namespace {
--- a/src/jobs/dependency_graph.h
+++ b/src/jobs/dependency_graph.h
@@ -6,7 +6,6 @@
 #pragma once
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <limits>
 #include <set>
 #include <string>
@@ -14,7 +13,6 @@
 #include <utility>
 #include <vector>
 
-#include "state/limits.h"
 #include "state/state_cache.h"
 
 namespace shunttrail::jobs {
@@ -108,21 +106,4 @@
   std::set<std::string> changed_;
 };
 
-/// A transaction that moves jobs out of the waiting state.
-struct StateTransitions {
-  wire::Transaction txn;
-  /// The results that the transaction writes, by job.
-  std::vector<std::pair<std::string, wire::JobResultRecord>> results;
-};
-/// Builds a transaction for waiting jobs. With `ready`, ready jobs move to the key of jobs that may
-/// start; otherwise doomed jobs get the cancelled result that users already see. Preconditions on
-/// the revisions of the waiting keys and on the absence of results make a late or repeated copy of
-/// the transaction fail.
-/// `limits` bounds the transaction's size; `wall_now` is the time of day in seconds; `tag` names
-/// the transaction; `is_led_here` returns whether this node leads the job's shard.
-[[nodiscard]] StateTransitions state_transitions(
-    const state::StateCache& cache, const DependencyGraph& graph, bool ready,
-    const state::TransactionLimits& limits, double wall_now, const std::string& tag,
-    const std::function<bool(const std::string&)>& is_led_here);
-
 }  // namespace shunttrail::jobs
--- /dev/null
+++ b/src/jobs/state_transitions.cpp
@@ -0,0 +1,54 @@
+#include "jobs/state_transitions.h"
+
+#include <utility>
+
+#include "state/keys.h"
+#include "wire/record_codec.h"
+
+namespace shunttrail::jobs {
+namespace {
+
+/// Adds the operations that move a ready job to the key of jobs that may start.
+void add_start(const std::string& id, const state::JobEntry& job, double wall_now,
+               StateTransitions& out) {
+  out.txn.preconditions.emplace_back(state::job_key(id), 0);
+  wire::JobRecord record = job.record;
+  record.spec.dependencies.clear();
+  record.ready_at = wall_now;
+  out.txn.ops.push_back({state::job_key(id), wire::encode_record(record), 0});
+}
+
+/// Adds the operation that writes a doomed job's cancelled result.
+void add_cancellation(const std::string& id, const state::JobEntry& job, const std::string& tag,
+                      StateTransitions& out) {
+  wire::JobResultRecord result = wire::cancelled_record(job.record.spec, tag);
+  out.txn.ops.push_back({state::job_result_key(id), wire::encode_record(result), 0});
+  out.results.emplace_back(id, std::move(result));
+}
+
+/// The operations that one job needs: its waiting key is deleted and another key is set.
+constexpr std::size_t kOpsPerJob = 2;
+
+}  // namespace
+
+StateTransitions state_transitions(const state::StateCache& cache, const DependencyGraph& graph,
+                                   bool ready, const state::TransactionLimits& limits,
+                                   double wall_now, const std::string& tag,
+                                   const std::function<bool(const std::string&)>& is_led_here) {
+  StateTransitions out;
+  for (const std::string& id : ready ? graph.ready() : graph.doomed()) {
+    if (out.txn.ops.size() + kOpsPerJob > limits.ops) break;
+    const state::JobEntry* job = cache.waiting(id);
+    if (!job || !is_led_here(id)) continue;
+    out.txn.preconditions.emplace_back(state::waiting_key(id), job->mod_revision);
+    out.txn.preconditions.emplace_back(state::job_result_key(id), 0);
+    out.txn.ops.push_back({state::waiting_key(id), std::nullopt, 0});
+    if (ready)
+      add_start(id, *job, wall_now, out);
+    else
+      add_cancellation(id, *job, tag, out);
+  }
+  return out;
+}
+
+}  // namespace shunttrail::jobs
--- a/tests/dependency_graph_test.cpp
+++ b/tests/dependency_graph_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "emulators.h"
+#include "jobs/state_transitions.h"
 
 namespace shunttrail::test {
 namespace {
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -8,6 +8,7 @@
 
 #include "emulators.h"
 #include "jobs/dependency_graph.h"
+#include "jobs/state_transitions.h"
 
 namespace shunttrail::test {
 namespace {
