--- a/src/controller/job_submission.cpp
+++ b/src/controller/job_submission.cpp
@@ -152,7 +152,7 @@
   const bool is_ready = spec.dependencies.empty();
   return {spec.id, wire::JobState::queued,
           is_ready ? state::job_key(spec.id) : state::waiting_key(spec.id),
-          wire::encode_record(job), std::nullopt};
+          wire::encode_record_within(job, value_limit()), std::nullopt};
 }
 
 void JobSubmission::accept(const net::ExchangePtr& exchange, Acceptance acceptance) {
@@ -186,11 +186,14 @@
   refuse(exchange, unavailable_response());
 }
 
+std::size_t JobSubmission::value_limit() const {
+  return components_.state_client.limits().transaction_limits().value_bytes;
+}
+
 // Checked again after a commit that was refused as too large: the limit of the state service may
 // have been learned from that response.
 bool JobSubmission::exceeds_value_limit(const Acceptance& acceptance) const {
-  return acceptance.value.size() >
-         components_.state_client.limits().transaction_limits().value_bytes;
+  return acceptance.value.size() > value_limit();
 }
 
 // The job's state takes precedence: another node may have accepted the job with a smaller body an
--- a/src/controller/job_submission.h
+++ b/src/controller/job_submission.h
@@ -70,6 +70,8 @@
   void accept(const net::ExchangePtr& exchange, Acceptance acceptance);
   void on_commit_result(const net::ExchangePtr& exchange, const Acceptance& acceptance,
                         const state::CommitResult& result);
+  /// Returns the longest value, in bytes, that the state service accepts.
+  [[nodiscard]] std::size_t value_limit() const;
   [[nodiscard]] bool exceeds_value_limit(const Acceptance& acceptance) const;
   void refuse_oversized(const net::ExchangePtr& exchange, const std::string& id);
   void refuse(const net::ExchangePtr& exchange, const net::Answer& answer);
--- a/src/emulators/state.cpp
+++ b/src/emulators/state.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t kMaxWatchMs = 60000;
 constexpr std::size_t kMaxRequestBytes = 64 * 1024;
 constexpr std::size_t kMaxNumberDigits = 18;  // any number of 18 digits fits into 64 bits
+constexpr std::size_t kPreconditionsPerOp = 4;
 constexpr double kTickS = 0.05;
 constexpr std::string_view kLeasesPath = "/holds";
 constexpr std::string_view kRenewSuffix = "/renew";
@@ -64,6 +65,11 @@
   write_limit_ = {write_rps, write_rps, loop_.now()};
 }
 
+void StateServiceEmulator::set_size_limits(std::size_t value_bytes, std::size_t ops) {
+  max_value_bytes_ = value_bytes;
+  max_ops_ = ops;
+}
+
 bool StateServiceEmulator::RateLimit::take(double n, double now) {
   if (per_s <= 0) return true;
   tokens = std::min(per_s, tokens + (now - at) * per_s);
@@ -126,6 +132,10 @@
   wire::Transaction t = client_protocol::decode_transaction(body);
   // A transaction counts against the write rate even if its preconditions fail.
   if (!write_limit_.take(static_cast<double>(t.ops.size()), loop_.now())) return {429, "{}", 0};
+  if (is_oversized(t)) {
+    ++oversized_transactions_;
+    return {400, "{\"error\":\"too large\"}", 0};
+  }
   for (const auto& op : t.ops)
     if (op.lease && !leases_.contains(op.lease)) return {400, "{\"error\":\"no such lease\"}", 0};
   std::vector<std::string> failed;
@@ -140,6 +150,17 @@
   return {200, client_protocol::encode_revision(revision_), 0};
 }
 
+bool StateServiceEmulator::is_oversized(const wire::Transaction& transaction) const {
+  const auto is_long = [this](const wire::Transaction::Op& op) {
+    return op.value && op.value->size() > max_value_bytes_;
+  };
+  const auto& ops = transaction.ops;
+  const std::size_t ops_for_preconditions =
+      (transaction.preconditions.size() + kPreconditionsPerOp - 1) / kPreconditionsPerOp;
+  return std::max(ops.size(), ops_for_preconditions) > max_ops_ ||
+         std::any_of(ops.begin(), ops.end(), is_long);
+}
+
 void StateServiceEmulator::apply(const wire::Transaction& t, std::uint64_t revision) {
   revision_ = revision;
   for (const auto& op : t.ops) {
--- a/src/emulators/state.h
+++ b/src/emulators/state.h
@@ -5,6 +5,7 @@
 #pragma once
 #include <deque>
 #include <filesystem>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,12 @@
   /// Limits requests and written keys a second. Above the limits, with bursts of up to one second's
   /// worth, requests are answered 429. There are no limits before the first call.
   void set_rate_limits(double rps, double write_rps);
+  /// Limits the length of each value and the operations of a transaction, which may have four
+  /// preconditions for each. Above the limits a transaction is answered 400. There are no limits
+  /// before the first call. What is stored stays readable.
+  void set_size_limits(std::size_t value_bytes, std::size_t ops);
+  /// Returns how many transactions were above the size limits.
+  [[nodiscard]] std::uint64_t oversized_transactions() const { return oversized_transactions_; }
 
  private:
   struct Entry {
@@ -68,6 +75,7 @@
   // no such events.
   std::optional<std::string> encode_changes(const std::string& prefix, std::uint64_t after) const;
   void apply(const wire::Transaction& transaction, std::uint64_t revision);
+  [[nodiscard]] bool is_oversized(const wire::Transaction& transaction) const;
   void answer_watchers();
   void drop_lease(std::uint64_t id);
   void renew_all_leases();
@@ -90,6 +98,9 @@
   int fd_ = -1;  // the open log; -1: nothing is stored
   bool in_outage_ = false;
   RateLimit request_limit_, write_limit_;
+  std::size_t max_value_bytes_ = std::numeric_limits<std::size_t>::max();
+  std::size_t max_ops_ = std::numeric_limits<std::size_t>::max();
+  std::uint64_t oversized_transactions_ = 0;
   actor::Timer timer_;
   net::Server http_;
 };
--- a/src/jobs/state_transitions.cpp
+++ b/src/jobs/state_transitions.cpp
@@ -8,14 +8,18 @@
 namespace shunttrail::jobs {
 namespace {
 
-/// Adds the operations that move a ready job to the key of jobs that may start.
-void add_start(const std::string& id, const state::JobEntry& job, double wall_now,
-               StateTransitions& out) {
-  out.txn.preconditions.emplace_back(state::job_key(id), 0);
+/// Returns the value of the key under which a job that has become ready may start.
+std::string start_value(const state::JobEntry& job, double wall_now, std::size_t max_bytes) {
   wire::JobRecord record = job.record;
   record.spec.dependencies.clear();
   record.ready_at = wall_now;
-  out.txn.ops.push_back({state::job_key(id), wire::encode_record(record), 0});
+  return wire::encode_record_within(record, max_bytes);
+}
+
+/// Adds the operations that move a ready job to the key of jobs that may start.
+void add_start(const std::string& id, std::string value, StateTransitions& out) {
+  out.txn.preconditions.emplace_back(state::job_key(id), 0);
+  out.txn.ops.push_back({state::job_key(id), std::move(value), 0});
 }
 
 /// Adds the operation that writes a doomed job's cancelled result.
@@ -44,7 +48,7 @@
     out.txn.preconditions.emplace_back(state::job_result_key(id), 0);
     out.txn.ops.push_back({state::waiting_key(id), std::nullopt, 0});
     if (ready)
-      add_start(id, *job, wall_now, out);
+      add_start(id, start_value(*job, wall_now, limits.value_bytes), out);
     else
       add_cancellation(id, *job, tag, out);
   }
--- a/src/simulation/cluster_options.h
+++ b/src/simulation/cluster_options.h
@@ -1,5 +1,6 @@
 /// The size, limits and rates of a simulated cluster.
 #pragma once
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
@@ -13,6 +14,16 @@
 /// Tolerance in comparisons of vcpus, which are summed as doubles.
 inline constexpr double kCpuTolerance = 1e-9;
 
+/// The size limits of the state service.
+struct StateSizeLimits {
+  double value_kb = 16;  ///< length of a value
+  int txn_ops = 16;      ///< operations of a transaction
+  [[nodiscard]] std::size_t value_bytes() const {
+    return static_cast<std::size_t>(value_kb * 1024);
+  }
+  [[nodiscard]] std::size_t ops() const { return static_cast<std::size_t>(txn_ops); }
+};
+
 /// The size of a SimulatedCluster and the rates of its faults. Shares are probabilities from 0 to
 /// 1. Tests may change shares and delays while the simulation runs; sizes, limits and protocol
 /// times are read when the cluster is constructed.
@@ -36,11 +47,13 @@
   double controllers_team_limit = 0;  ///< `team_limit` in the controllers' settings; 0: the same
 
   // ---- rates and delays
-  double state_rps = 3000;         ///< requests a second that the state service accepts
-  double state_write_rps = 1000;   ///< written keys a second that the state service accepts
-  double cloud_rps = 60;           ///< requests a second that the cloud accepts
-  double state_latency_s = 0.005;  ///< mean round trip to the state service
-  double max_link_delay_s = 0;     ///< upper bound of every one-way delay; 0: the default delays
+  double state_rps = 3000;           ///< requests a second that the state service accepts
+  double state_write_rps = 1000;     ///< written keys a second that the state service accepts
+  double cloud_rps = 60;             ///< requests a second that the cloud accepts
+  StateSizeLimits state_sizes;       ///< size limits of the state service at first
+  StateSizeLimits next_state_sizes;  ///< the size limits that the settings announce
+  double state_latency_s = 0.005;    ///< mean round trip to the state service
+  double max_link_delay_s = 0;       ///< upper bound of every one-way delay; 0: the default delays
   double max_boot_s = 0;  ///< upper bound of new machines' boot times; 0: the type's boot time
   double list_lag_s = 0;  ///< the cloud's lists are up to twice this old; 0: they are current
   double wall_clock_error_s = 0.1;  ///< largest error of a controller's wall clock, fast or slow
--- a/src/simulation/fault_injector.cpp
+++ b/src/simulation/fault_injector.cpp
@@ -194,6 +194,10 @@
   state_slow_until_ = simulation_.now() + for_s;
 }
 
+void FaultInjector::change_state_limits(const StateSizeLimits& sizes) {
+  state_.set_size_limits(sizes.value_bytes(), sizes.ops());
+}
+
 void FaultInjector::cloud_outage(double for_s) { cloud_outage_until_ = simulation_.now() + for_s; }
 
 // ---- controllers
--- a/src/simulation/fault_injector.h
+++ b/src/simulation/fault_injector.h
@@ -30,6 +30,8 @@
   void refuse(int node, double for_s);
   /// Round trips to the state service take about `latency_s`.
   void slow_state(double latency_s, double for_s);
+  /// The state service has these size limits from now on, whether they were announced or not.
+  void change_state_limits(const StateSizeLimits& sizes);
   /// The cloud refuses every request with 503.
   void cloud_outage(double for_s);
 
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -48,6 +48,7 @@
     return faults_.answer_delay(request);
   };
   state_.set_rate_limits(options_.state_rps, options_.state_write_rps);
+  state_.set_size_limits(options_.state_sizes.value_bytes(), options_.state_sizes.ops());
   cloud_.set_list_lag(options_.list_lag_s);
   controllers_.start_all();
 }
--- a/src/simulation/simulated_cluster.h
+++ b/src/simulation/simulated_cluster.h
@@ -42,6 +42,10 @@
   [[nodiscard]] const RuleChecker& rules() const { return rules_; }
   SimulatedControllers& controllers() { return controllers_; }
   [[nodiscard]] const SimulatedMachines& machines() const { return machines_; }
+  /// The number of transactions that the state service has rejected for their size.
+  [[nodiscard]] std::uint64_t oversized_transactions() const {
+    return state_.oversized_transactions();
+  }
   /// The number of machines that the cloud has rented out.
   [[nodiscard]] std::size_t rented_machines() const { return cloud_.machines().size(); }
   /// Queries every controller about every accepted job and runs until all answers or the deadline
--- a/src/simulation/simulated_controllers.cpp
+++ b/src/simulation/simulated_controllers.cpp
@@ -11,6 +11,11 @@
 // protocol's limit.
 constexpr double kClockDrift = 0.00025;
 
+config::Settings::StateLimits state_limits(const ClusterOptions& options,
+                                           const StateSizeLimits& sizes) {
+  return {options.state_rps, options.state_write_rps, sizes.value_kb, sizes.txn_ops};
+}
+
 config::Settings make_settings(const ClusterOptions& options) {
   config::Settings s;
   for (int n = 0; n < options.controllers; ++n) s.nodes.push_back("node-" + std::to_string(n));
@@ -24,9 +29,8 @@
   s.heartbeat_s = options.heartbeat_s;
   s.lease_s = options.lease_s;
   s.cancel_s = options.controllers_cancel_s > 0 ? options.controllers_cancel_s : options.cancel_s;
-  s.state_limits = s.state_next = {3000, 1000, 16, 16};
-  s.state_limits.rps = s.state_next.rps = options.state_rps;
-  s.state_limits.write_rps = s.state_next.write_rps = options.state_write_rps;
+  s.state_limits = state_limits(options, options.state_sizes);
+  s.state_next = state_limits(options, options.next_state_sizes);
   s.cloud_rps = options.cloud_rps;
   s.clock_off_ms = 1000 * options.wall_clock_error_s;
   s.list_lag_s = options.list_lag_s > 0 ? options.list_lag_s : 1;
--- a/src/wire/record_codec.cpp
+++ b/src/wire/record_codec.cpp
@@ -110,9 +110,7 @@
   }
 }
 
-}  // namespace
-
-std::string encode_record(const JobRecord& record) {
+json job_record_to_json(const JobRecord& record) {
   json j = job_spec_to_json(record.spec);
   j["at"] = record.submitted_at;
   if (record.ready_at > 0) j["ready"] = record.ready_at;
@@ -122,6 +120,25 @@
     j["stock_types"] = {kDelegatedType};
   }
   if (!record.tag.empty()) j["w"] = record.tag;
+  return j;
+}
+
+/// Rounds a time of day down to whole seconds, which takes fewer digits.
+void round_down(json& time) { time = static_cast<std::uint64_t>(time.get<double>()); }
+
+}  // namespace
+
+std::string encode_record(const JobRecord& record) { return job_record_to_json(record).dump(); }
+
+std::string encode_record_within(const JobRecord& record, std::size_t max_bytes) {
+  json j = job_record_to_json(record);
+  std::string value = j.dump();
+  if (value.size() <= max_bytes) return value;
+  round_down(j["at"]);
+  if (const auto ready = j.find("ready"); ready != j.end()) round_down(*ready);
+  value = j.dump();
+  if (value.size() <= max_bytes) return value;
+  j.erase("ready");
   return j.dump();
 }
 
--- a/src/wire/record_codec.h
+++ b/src/wire/record_codec.h
@@ -2,6 +2,7 @@
 /// Values that are stored in the state service: job records, inventory and placement pages, results
 /// and shard leaders. Stored forms are listed in docs/design.md; later builds have to read them.
 #pragma once
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -19,7 +20,12 @@
 
 /// Writes the value of a job's key.
 [[nodiscard]] std::string encode_record(const JobRecord& record);
-/// Reads the value of a job's key. Throws Malformed.
+/// Writes the value of a job's key in a form of at most `max_bytes`, or in the shortest form if
+/// none is short enough. The shorter forms round times down to whole seconds, and then leave out
+/// `ready_at`, so that the job's waiting time counts from its submission. A waiting job's record
+/// without its dependencies always has a form that is not longer than the record was.
+[[nodiscard]] std::string encode_record_within(const JobRecord& record, std::size_t max_bytes);
+/// Reads the value of a job's key, in any of its forms. Throws Malformed.
 [[nodiscard]] JobRecord decode_job_record(const Event& event);
 
 /// Writes the value of an inventory page's key, in the form that the record names.
