state: a rejection lowers only the limits that may explain it, and is logged

Cause: Limits::too_large took the known limits as an explanation only for the first rejection. A second one of a value above the known limit lowered the number of operations, and one with too many operations lowered the value. Values and transactions that every state service accepts (1 KiB, 2 operations) lowered limits as well, and that to the minimum: after the rejection of short values, jobs of over 1 KiB were refused as too long. Change: sizes above the known limits explain any rejection; sizes at the minimum explain none. A rejection is logged with its sizes, its longest value's key and the limits before and after, once a second at the most: until now only a counter told of it, and the two limits could not be told apart. Why this works: a size can be the reason only if it is above the minimum, and only if no other size is known to be.

--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -1,5 +1,7 @@
 #include "state/client.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -41,13 +43,6 @@
   return bucket.cap() * share * static_cast<int>(priority);
 }
 
-std::size_t longest_value(const wire::Transaction& transaction) {
-  std::size_t longest = 0;
-  for (const auto& op : transaction.ops)
-    if (op.value) longest = std::max(longest, op.value->size());
-  return longest;
-}
-
 }  // namespace
 
 void TokenBucket::refill(double now) {
@@ -167,8 +162,32 @@
                 std::move(call.done));
 }
 
-CommitResult Client::read_commit_answer(const net::Result& answer, std::size_t longest_value,
-                                        std::size_t ops) {
+Client::TransactionSize Client::size_of(const wire::Transaction& transaction) {
+  TransactionSize size;
+  size.ops = transaction.ops.size();
+  for (const auto& op : transaction.ops) {
+    if (!op.value || op.value->size() <= size.longest_value) continue;
+    size.longest_value = op.value->size();
+    size.longest_key = op.key;
+  }
+  return size;
+}
+
+void Client::on_too_large(const TransactionSize& size) {
+  const TransactionLimits before = limits_.transaction_limits();
+  limits_.too_large(size.longest_value, size.ops);
+  const double now = loop_.now();
+  if (now - rejection_logged_at_ < kRejectionLogIntervalS) return;
+  rejection_logged_at_ = now;
+  const TransactionLimits after = limits_.transaction_limits();
+  spdlog::warn(
+      "the state service rejected a transaction as too large: {} operations (limit {}, now {}), "
+      "longest value {} bytes, of {} (limit {}, now {})",
+      size.ops, before.ops, after.ops, size.longest_value, size.longest_key, before.value_bytes,
+      after.value_bytes);
+}
+
+CommitResult Client::read_commit_answer(const net::Result& answer, const TransactionSize& size) {
   CommitResult out;
   try {
     if (answer.status == kStatusOk) {
@@ -182,7 +201,7 @@
     } else if (answer.status == kStatusBadRequest) {
       out.kind =
           wire::lease_missing(answer.body) ? CommitResult::no_lease : CommitResult::too_large;
-      if (out.kind == CommitResult::too_large) limits_.too_large(longest_value, ops);
+      if (out.kind == CommitResult::too_large) on_too_large(size);
     }
   } catch (const wire::Malformed&) {
     out.kind = CommitResult::unknown;
@@ -199,10 +218,10 @@
   call.writes = static_cast<double>(transaction.ops.size());
   call.timeout_s = kTimeoutS;
   call.give_up_at = loop_.now() + give_up_s;
-  call.done = [this, longest = longest_value(transaction), ops = transaction.ops.size(),
+  call.done = [this, size = size_of(transaction),
                done = std::move(done)](const net::Result& answer) {
     on_status(answer.status, true);
-    done(read_commit_answer(answer, longest, ops));
+    done(read_commit_answer(answer, size));
   };
   submit(std::move(call), priority);
 }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -111,6 +111,8 @@
   [[nodiscard]] Cost cost() const;
 
  private:
+  /// The shortest time between two log lines about rejected transactions.
+  static constexpr double kRejectionLogIntervalS = 1;
   struct Call {
     const char* method = nullptr;
     std::string path;
@@ -132,8 +134,16 @@
   void refill(double now);
   /// Lowers a rate if the response is 429.
   void on_status(int status, bool is_commit);
-  CommitResult read_commit_answer(const net::Result& answer, std::size_t longest_value,
-                                  std::size_t ops);
+  /// The size of a transaction, as far as the limits concern it.
+  struct TransactionSize {
+    std::size_t ops = 0;
+    std::size_t longest_value = 0;  ///< in bytes
+    std::string longest_key;        ///< the key that has this value
+  };
+  static TransactionSize size_of(const wire::Transaction& transaction);
+  CommitResult read_commit_answer(const net::Result& answer, const TransactionSize& size);
+  /// Lowers the limits after a transaction was rejected as too large, and logs the rejection.
+  void on_too_large(const TransactionSize& size);
 
   net::Client http_;
   net::Client watch_http_;
@@ -143,6 +153,7 @@
   TokenBucket request_tokens_;
   TokenBucket write_tokens_;
   double waited_s_ = 0;
+  double rejection_logged_at_ = -kRejectionLogIntervalS;
   std::array<std::deque<Call>, kRequestPriorities> queues_;
   actor::Timer timer_;
 };
--- a/src/state/limits.cpp
+++ b/src/state/limits.cpp
@@ -34,16 +34,15 @@
 
 void Limits::too_large(std::size_t longest_value, std::size_t ops) {
   ++refusals_;
+  is_smaller_shown_ = true;
   TransactionLimits& limits = transaction_limits_;
-  if (!is_smaller_shown_) {
-    is_smaller_shown_ = true;
-    // The announced limits explain the rejection.
-    if (longest_value > limits.value_bytes || ops > limits.ops) return;
-  }
+  // The known limits explain the rejection. It shows nothing about the other size.
+  if (longest_value > limits.value_bytes || ops > limits.ops) return;
   // The response does not say which of the two sizes was too large, so both limits are lowered.
-  if (longest_value <= limits.value_bytes)
+  // A size that every state service accepts cannot be the reason.
+  if (longest_value > kMinValueBytes)
     limits.value_bytes = std::min(limits.value_bytes, reduced(longest_value, kMinValueBytes));
-  if (ops <= limits.ops) limits.ops = std::min(limits.ops, reduced(ops, kMinOps));
+  if (ops > kMinOps) limits.ops = std::min(limits.ops, reduced(ops, kMinOps));
 }
 
 double AdaptiveRate::rate(double now) {
--- a/src/state/limits.h
+++ b/src/state/limits.h
@@ -32,9 +32,9 @@
   [[nodiscard]] TransactionLimits present() const {
     return is_smaller_shown_ ? transaction_limits() : present_;
   }
-  /// Lowers the limits after a transaction of this size was rejected as too large. The actual
-  /// limits may be lower than the announced ones, so the limits fall below the announced ones if
-  /// these do not explain the rejection.
+  /// Lowers the limits that may explain the rejection of a transaction of this size as too large.
+  /// None is lowered if one of the sizes is above the known limits, which explains the rejection.
+  /// The actual limits may be lower than the announced ones.
   void too_large(std::size_t longest_value, std::size_t ops);
   /// Returns how many transactions were rejected as too large.
   [[nodiscard]] std::uint64_t refusals() const { return refusals_; }
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -152,6 +152,38 @@
   EXPECT_EQ(limits.transaction_limits().ops, 2u);
 }
 
+// Guards against transactions that shrink to one job after a value was repeatedly rejected.
+TEST(Limits, ARejectionThatTheKnownLimitsExplainLowersNone) {
+  auto settings = make_settings();
+  settings.state_next.value_kb = 2;
+  settings.state_next.txn_ops = 4;
+  state::Limits limits(settings);
+  for (int i = 0; i < 20; ++i) limits.too_large(2060, 4);
+  EXPECT_EQ(limits.transaction_limits().value_bytes, 2048u);
+  EXPECT_EQ(limits.transaction_limits().ops, 4u);
+  for (int i = 0; i < 20; ++i) limits.too_large(2000, 6);
+  EXPECT_EQ(limits.transaction_limits().value_bytes, 2048u);
+  EXPECT_EQ(limits.transaction_limits().ops, 4u);
+  EXPECT_EQ(limits.refusals(), 40u);
+}
+
+// Guards against jobs that are refused as too long after the rejection of a transaction with short
+// values, and against single operations after that of a long value.
+TEST(Limits, ARejectionLowersOnlyLimitsThatMayExplainIt) {
+  auto settings = make_settings();
+  state::Limits limits(settings);
+  const auto before = limits.transaction_limits();
+  limits.too_large(100, 2);
+  EXPECT_EQ(limits.transaction_limits().value_bytes, before.value_bytes);
+  EXPECT_EQ(limits.transaction_limits().ops, before.ops);
+  limits.too_large(100, 8);
+  EXPECT_EQ(limits.transaction_limits().value_bytes, before.value_bytes);
+  EXPECT_EQ(limits.transaction_limits().ops, 6u);
+  limits.too_large(2000, 1);
+  EXPECT_EQ(limits.transaction_limits().value_bytes, 1500u);
+  EXPECT_EQ(limits.transaction_limits().ops, 6u);
+}
+
 TEST(Limits, A429LowersTheRateAtOnceAndItRisesAgainSlowly) {
   state::AdaptiveRate rate(25, 18);
   EXPECT_EQ(rate.rate(1), 25);
