jobs: a record above the limits keeps no other job waiting

Cause: JobResults rebuilt the same transaction, in the order of ids, after each rejection, so the first job of that order decided over all others. Change: state_transitions leaves out a job whose record is above the known limits in every form. Such a job (which was accepted under larger limits) is tried by itself, every 10 s, the next one in turn each time, with a warning that names it, since known limits may be announced ones that do not apply yet, or estimates from rejections. Why this works: a transaction for several jobs holds only values within the known limits, so its rejection lowers these until it fits, and a job above them is in no transaction with others.

--- a/src/controller/job_results.cpp
+++ b/src/controller/job_results.cpp
@@ -8,7 +8,6 @@
 
 #include "controller/schema_manager.h"
 #include "controller/shard_controller.h"
-#include "jobs/state_transitions.h"
 
 namespace shunttrail::controller {
 namespace {
@@ -22,8 +21,6 @@
 constexpr double kReadRetryDelayS = 0.2;
 /// Time for which the leader of a job's shard has precedence for a transition of the job.
 constexpr double kLeaderGraceS = 2;
-/// Delay after a transition that was not applied.
-constexpr double kTransitionRetryDelayS = 0.3;
 constexpr double kTransitionTimeoutS = 3;
 /// Delay between the first change and the transitions that it makes possible. Changes that arrive
 /// in the meantime are handled together.
@@ -235,6 +232,7 @@
     return;
   write_transition(Transition::to_ready);
   write_transition(Transition::to_cancelled);
+  write_oversized_start();
   forget_completed_transitions();
 }
 
@@ -264,16 +262,37 @@
 void JobResults::write_transition(Transition transition) {
   const bool is_ready = transition == Transition::to_ready;
   TransitionWriter& writer = is_ready ? ready_writer_ : cancelled_writer_;
-  if (writer.is_in_flight || loop_.now() < writer.retry_at) return;
+  if (!writer.is_due(loop_.now())) return;
   jobs::StateTransitions transitions = jobs::state_transitions(
       components_.state_store->cache(), dependencies_, is_ready,
       components_.state_client.limits().transaction_limits(), loop_.wall_now(), tags_.next(),
       [this](const std::string& id) { return may_transition(id); });
   if (transitions.txn.ops.empty()) return;
+  const auto priority = is_ready ? state::RequestPriority::work : state::RequestPriority::sweep;
+  commit(writer, std::move(transitions), priority);
+}
+
+// A ready job whose record is above the known limits is tried by itself, so that no other job waits
+// for it.
+void JobResults::write_oversized_start() {
+  if (!oversized_writer_.is_due(loop_.now())) return;
+  const state::TransactionLimits limits = components_.state_client.limits().transaction_limits();
+  std::optional<jobs::OversizedStart> start = jobs::oversized_start(
+      components_.state_store->cache(), dependencies_, limits, loop_.wall_now(), last_oversized_id_,
+      [this](const std::string& id) { return may_transition(id); });
+  if (!start) return;
+  spdlog::warn(
+      "job {} is ready, but its record takes {} bytes and the state service accepts {}: trying",
+      start->id, start->value_bytes, limits.value_bytes);
+  last_oversized_id_ = start->id;
+  commit(oversized_writer_, {std::move(start->txn), {}}, state::RequestPriority::work);
+}
+
+void JobResults::commit(TransitionWriter& writer, jobs::StateTransitions transitions,
+                        state::RequestPriority priority) {
   writer.is_in_flight = true;
   const std::size_t transitioned_jobs =
       transitions.txn.ops.size() / 2;  // each transition deletes one key and sets one
-  const auto priority = is_ready ? state::RequestPriority::work : state::RequestPriority::sweep;
   components_.state_store->commit_or_reread(
       std::move(transitions.txn), priority, kTransitionTimeoutS,
       reply<state::CommitResult>(
@@ -286,7 +305,7 @@
             } else {
               // The commit lost a race, or its outcome is unknown. The retry is decided by the
               // state that has been read since.
-              writer.retry_at = loop_.now() + kTransitionRetryDelayS;
+              writer.retry_at = loop_.now() + writer.retry_delay_s;
             }
             schedule_advance();
           }));
--- a/src/controller/job_results.h
+++ b/src/controller/job_results.h
@@ -14,6 +14,7 @@
 #include "controller/tag_sequence.h"
 #include "jobs/dependency_graph.h"
 #include "jobs/result_reader.h"
+#include "jobs/state_transitions.h"
 
 namespace shunttrail::controller {
 
@@ -31,7 +32,9 @@
   [[nodiscard]] const wire::JobResultRecord* cached_result(const std::string& id) const;
   [[nodiscard]] const jobs::DependencyGraph& dependencies() const { return dependencies_; }
   /// Returns the number of jobs that this node has made ready.
-  [[nodiscard]] std::uint64_t made_ready() const { return ready_writer_.transitioned_jobs; }
+  [[nodiscard]] std::uint64_t made_ready() const {
+    return ready_writer_.transitioned_jobs + oversized_writer_.transitioned_jobs;
+  }
   /// Returns the number of jobs that this node has cancelled because a job that they depend on was
   /// cancelled.
   [[nodiscard]] std::uint64_t cancelled_with_dependencies() const {
@@ -60,11 +63,18 @@
 
  private:
   enum class Transition { to_ready, to_cancelled };
+  /// Delay after a transition that was not applied.
+  static constexpr double kTransitionRetryDelayS = 0.3;
+  /// The same for a record that is above the known limits: the transaction will probably be
+  /// rejected, and takes a part of the write rate.
+  static constexpr double kOversizedRetryDelayS = 10;
   /// The commits of one kind of transition, of which at most one is in flight.
   struct TransitionWriter {
+    double retry_delay_s = kTransitionRetryDelayS;
     bool is_in_flight = false;
     double retry_at = 0;
     std::uint64_t transitioned_jobs = 0;
+    [[nodiscard]] bool is_due(double now) const { return !is_in_flight && now >= retry_at; }
   };
   void on_changes(const std::vector<state::Change>& changes);
   void on_waiting_set(const std::string& id);
@@ -78,6 +88,9 @@
   void advance();
   void read_dependencies();
   void write_transition(Transition transition);
+  void write_oversized_start();
+  void commit(TransitionWriter& writer, jobs::StateTransitions transitions,
+              state::RequestPriority priority);
   void forget_completed_transitions();
   bool may_transition(const std::string& id);
 
@@ -91,6 +104,8 @@
   std::unordered_map<std::string, double> transition_due_since_;
   TransitionWriter ready_writer_;
   TransitionWriter cancelled_writer_;
+  TransitionWriter oversized_writer_{kOversizedRetryDelayS};
+  std::string last_oversized_id_;  ///< The job that `oversized_writer_` has tried last.
   double next_read_at_ = 0;
   TagSequence tags_;
   bool is_advance_scheduled_ = false;
--- a/tests/fault_combinations_state_limits_test.cpp
+++ b/tests/fault_combinations_state_limits_test.cpp
@@ -81,5 +81,33 @@
   }
 }
 
+// Guards against jobs that wait behind one whose record the state service no longer accepts in any
+// form, since its limits are lower than announced. That job stays known, and becomes ready once its
+// record is accepted again.
+TEST(StateLimits, AJobAboveTheLimitsKeepsNoOtherJobWaiting) {
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SimulatedCluster cluster(seed, limits_with_announced(kFirstLimits));
+    cluster.run_for(kStartS);
+    const std::string needed = cluster.users().submit(spec("red", 1), 20);
+    cluster.run_for(2);
+    // In the order of ids, which is that of the submissions, the long jobs come first.
+    Strings too_long, others;
+    for (int i = 0; i < 3; ++i)
+      too_long.push_back(cluster.users().submit(spec_with_record(3000, needed), 1));
+    for (int i = 0; i < 8; ++i) others.push_back(cluster.users().submit(spec_after(needed), 1));
+    cluster.run_for(2);
+    cluster.faults().change_state_limits(kLowerLimits);
+    cluster.run_for(20 + kMaxWaitS);
+    EXPECT_EQ(not_done(cluster, others), Strings{});
+    EXPECT_EQ(not_done(cluster, too_long), too_long);
+    cluster.faults().change_state_limits(kFirstLimits);
+    cluster.run_for(kMaxWaitS);
+    EXPECT_EQ(not_done(cluster, too_long), Strings{});
+    cluster.query_all_controllers();
+    EXPECT_EQ(cluster.rules().broken(), Strings{});
+  }
+}
+
 }  // namespace
 }  // namespace shunttrail::test
--- a/tests/state_transitions_test.cpp
+++ b/tests/state_transitions_test.cpp
@@ -10,6 +10,43 @@
 namespace shunttrail::test {
 namespace {
 
+// Jobs that wait for one job, which is done.
+struct ReadyJobs {
+  config::Settings settings = make_settings(1);
+  Store store;
+  state::StateCache cache{settings};
+  jobs::DependencyGraph graph{cache};
+  const std::string needed = make_job(0, 1, 1).spec.id;
+
+  // Returns the length of the job's record.
+  std::size_t add(int number, std::size_t padding) {
+    wire::JobRecord record = make_job(number, 1, 1);
+    record.spec.job_class += std::string(padding, '-');
+    record.spec.dependencies = {needed};
+    record.submitted_at = 1796364123.1234567;
+    const std::string value = wire::encode_record(record);
+    store.commit({{}, {{state::waiting_key(record.spec.id), value, 0}}});
+    return value.size();
+  }
+  void read() {
+    std::vector<state::Change> changes;
+    store.read(cache, changes);
+    for (const auto& change : changes) graph.key_changed(change.name);
+    graph.job_ended(needed, false);
+  }
+  static bool is_led_here(const std::string&) { return true; }
+  jobs::StateTransitions transitions(std::size_t value_bytes) {
+    return jobs::state_transitions(cache, graph, true, {value_bytes, 4, 16}, 1796364131.7654321,
+                                   "t", is_led_here);
+  }
+  // Returns the job that is tried by itself after this one; empty: none.
+  std::string oversized_after(const std::string& job, std::size_t value_bytes) {
+    const auto start = jobs::oversized_start(cache, graph, {value_bytes, 4, 16}, 1796364131.7654321,
+                                             job, is_led_here);
+    return start ? start->id : "";
+  }
+};
+
 // Guards against a job that was accepted at the limit, and cannot become ready since the time at
 // which it did so makes its record longer.
 RC_GTEST_PROP(StateTransitions, ARecordBecomesNoLongerWhenItsJobBecomesReady, ()) {
@@ -45,5 +82,25 @@
   EXPECT_EQ(decoded(exact - 17).submitted_at, 1796364123);
 }
 
+// Guards against jobs that wait behind one whose record is above the limits in every form.
+TEST(StateTransitions, JobsAboveTheLimitsAreLeftOutAndTriedInTurn) {
+  ReadyJobs jobs;
+  const std::size_t limit = jobs.add(1, 0);
+  jobs.add(2, 100);
+  jobs.add(3, 0);
+  jobs.add(4, 100);
+  jobs.read();
+  ASSERT_EQ(jobs.graph.ready().size(), 4u);
+  const auto id = [](int number) { return make_job(number, 1, 1).spec.id; };
+  const auto transitions = jobs.transitions(limit);
+  ASSERT_EQ(transitions.txn.ops.size(), 4u);
+  EXPECT_EQ(transitions.txn.ops[1].key, state::job_key(id(1)));
+  EXPECT_EQ(transitions.txn.ops[3].key, state::job_key(id(3)));
+  EXPECT_EQ(jobs.oversized_after("", limit), id(2));
+  EXPECT_EQ(jobs.oversized_after(id(2), limit), id(4));
+  EXPECT_EQ(jobs.oversized_after(id(4), limit), id(2));
+  EXPECT_EQ(jobs.oversized_after("", limit + 100), "");
+}
+
 }  // namespace
 }  // namespace shunttrail::test
