scheduler: a delegation is opened only if it can be closed within the limit

Callers see: the tasks of a delegation whose shard does not place them stay withheld; no shard starts them. Cause: a record is compared with the limit when its delegation is opened. Closing adds a mark of 11 bytes and a tag of its own, possibly of another process, to the same record, and DelegationPlanner::write_record writes nothing if that is too long, again and again. Change: an open delegation leaves 48 bytes free: the mark, and a tag that is 37 bytes longer. Why this works: removal writes a shorter record than closing, so opening is the only place that has to look ahead. Measured: TwoShards.ADelegationAtTheLimitCanBeClosed fails before (the delegation is open 20 s after it should have closed) and passes; it raises the limit byte by byte until the delegation just fits. The other TwoShards tests pass.

--- a/src/scheduler/delegation_planner.cpp
+++ b/src/scheduler/delegation_planner.cpp
@@ -33,10 +33,17 @@
 /// delegated only as a whole.
 constexpr std::size_t kMaxTasksPerDelegation = 32;
 constexpr std::size_t kMaxTasksPerGang = 128;
+/// Number of bytes that a record with an open delegation leaves free below the limit. Closing marks
+/// the delegation, and names the transaction, whose tag may be longer.
+constexpr std::size_t kClosingReserveBytes = 48;
 /// Number of preconditions in each transaction in addition to those on jobs: the leader's key and
 /// the schema version.
 constexpr std::size_t kSharedPreconditions = 2;
 
+bool is_open(const std::optional<wire::Delegation>& delegation) {
+  return delegation && !delegation->is_closed;
+}
+
 bool is_urgent(const Job& job) { return job.priority_band() < Job::kGuaranteed; }
 
 wire::Intervals intervals_of(std::vector<std::uint32_t> tasks) {
@@ -113,8 +120,10 @@
   wire::JobRecord record = entry.record;
   record.delegation = std::move(delegation);
   record.tag = draft.tag;
-  std::string value = wire::encode_record(record);
-  if (value.size() > draft.limits.value_bytes) return false;
+  const std::size_t reserve = is_open(record.delegation) ? kClosingReserveBytes : 0;
+  const std::size_t max_bytes = draft.limits.value_bytes - reserve;
+  std::string value = wire::encode_record_within(record, max_bytes);
+  if (value.size() > max_bytes) return false;
   transaction.preconditions.emplace_back(key, draft.cache.mod_revision(key));
   transaction.ops.push_back({key, std::move(value), 0});
   return true;
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -296,6 +296,8 @@
   std::vector<Worker> workers_;
   std::mt19937 rng_{5};
   double now_ = 0;
+  state::TransactionLimits limits_;
+  std::string tag_ = "t";
 
   void SetUp() override {
     settings_.teams[0].cpus_max = 6;
@@ -372,7 +374,7 @@
   std::optional<wire::Transaction> next_transaction(int shard) {
     auto& scheduler = *shards_[static_cast<std::size_t>(shard)];
     if (scheduler.scheduling_due()) scheduler.run_scheduling_pass(now_);
-    return scheduler.next_transaction(cache_, state::TransactionLimits{}, "t", now_);
+    return scheduler.next_transaction(cache_, limits_, tag_, now_);
   }
   void commit(int shard) {
     while (auto transaction = next_transaction(shard)) finish(shard, *transaction);
@@ -414,6 +416,15 @@
       for (int shard = 0; shard < 2; ++shard) commit(shard);
     }
   }
+  // The blue shard offers free capacity, and starts nothing.
+  void run_red_shard_for_a_second() {
+    ++now_;
+    shards_[0]->set_room_offers(shards_[1]->room_offers(now_));
+    shards_[0]->tick(now_);
+    for (const auto& request : shards_[0]->scale_out_requests(now_))
+      shards_[0]->rent_refused(request, 0, true, now_);
+    commit(0);
+  }
   // Returns the number of red tasks that run on the worker.
   std::size_t running_red_tasks(int worker) const {
     const auto& tasks = workers_[static_cast<std::size_t>(worker)].tasks;
@@ -479,14 +490,7 @@
   submit(make_job(1, 4, 1));
   run_seconds(3);
   submit(make_job(2, 1, 1));
-  while (!delegation("run-100002") && now_ < 60) {
-    ++now_;
-    shards_[0]->set_room_offers(shards_[1]->room_offers(now_));
-    shards_[0]->tick(now_);
-    for (const auto& request : shards_[0]->scale_out_requests(now_))
-      shards_[0]->rent_refused(request, 0, true, now_);
-    commit(0);
-  }
+  while (!delegation("run-100002") && now_ < 60) run_red_shard_for_a_second();
   ASSERT_TRUE(delegation("run-100002"));
   const auto late_start = next_transaction(1);
   ASSERT_TRUE(late_start);
@@ -499,6 +503,31 @@
   EXPECT_FALSE(store_.commit(*late_start));
 }
 
+// Guards against tasks that no shard may start: the record of a delegation was at the limit, and
+// the mark that closes it would have made it longer.
+TEST_F(TwoShards, ADelegationAtTheLimitCanBeClosed) {
+  submit(make_job(1, 4, 1));
+  run_seconds(3);
+  wire::JobRecord job = make_job(2, 1, 1);
+  job.spec.job_class = std::string(200, 'c');
+  submit(job);
+  const std::string key = state::job_key(job.spec.id);
+  limits_.value_bytes = store_.keys.at(key).value.size();
+  for (int second = 0; second < 30; ++second) run_red_shard_for_a_second();
+  ASSERT_FALSE(delegation(job.spec.id));
+  // The limit rises until the record of the open delegation just fits.
+  for (int second = 0; second < 200 && !delegation(job.spec.id); ++second) {
+    ++limits_.value_bytes;
+    run_red_shard_for_a_second();
+  }
+  ASSERT_TRUE(delegation(job.spec.id));
+  EXPECT_FALSE(delegation(job.spec.id)->is_closed);
+  tag_ = "node-2.1048577.k99999";
+  for (int second = 0; second < 20; ++second) run_red_shard_for_a_second();
+  EXPECT_FALSE(delegation(job.spec.id) && !delegation(job.spec.id)->is_closed);
+  EXPECT_LE(store_.keys.at(key).value.size(), limits_.value_bytes);
+}
+
 // The next leader of either shard recovers delegations from the stored state.
 TEST_F(TwoShards, DelegationsContinueAfterEitherShardsLeaderChanges) {
   submit(make_job(1, 4, 1));
