state: transactions of several records stay within 64 KiB overall

Callers would see: where values of up to 32 KiB are allowed, jobs with long records that become ready together, or are delegated together, are rejected with 400 at first; each rejection lowers the limits of the process, so that new jobs of half the limit are refused as too long and all transactions shrink. Cause: transactions were compared with the number of operations and each value with its limit, and nothing with the 64 KiB that PROTOCOL allows a transaction. Change: state::append_within adds a part to a transaction if operations, preconditions and total length stay within the limits; waiting jobs, delegations and inventory pages use it (the last had the same checks of its own). A value may have at most 63 KiB, so that a transaction of one record always fits.

--- a/src/controller/inventory.cpp
+++ b/src/controller/inventory.cpp
@@ -32,6 +32,12 @@
   if (digits < machine.size()) return std::strtoull(machine.c_str() + digits, nullptr, 10);
   return std::hash<std::string>{}(machine);
 }
+
+bool has_precondition(const wire::Transaction& transaction,
+                      const std::pair<std::string, std::uint64_t>& precondition) {
+  const auto& all = transaction.preconditions;
+  return std::find(all.begin(), all.end(), precondition) != all.end();
+}
 }  // namespace
 
 bool Inventory::Batch::has_space() const {
@@ -239,22 +245,18 @@
                             Preconditions leader_preconditions) {
   page.fill_rental_times(
       [this](const std::string& machine) { return components_.cloud_manager->rented_at(machine); });
-  wire::Transaction& all = batch.transaction;
-  auto is_in_batch = [&](const auto& precondition) {
-    return std::find(all.preconditions.begin(), all.preconditions.end(), precondition) !=
-           all.preconditions.end();
-  };
   wire::Transaction changes = page.changes(batch.limits.value_bytes, batch.tag);
-  for (auto& leader : leader_preconditions) changes.preconditions.push_back(std::move(leader));
-  std::erase_if(changes.preconditions, is_in_batch);
+  wire::Transaction part{{}, std::move(changes.ops)};
+  auto add_precondition = [&](auto& precondition) {
+    if (!has_precondition(batch.transaction, precondition) && !has_precondition(part, precondition))
+      part.preconditions.push_back(std::move(precondition));
+  };
+  for (auto& precondition : changes.preconditions) add_precondition(precondition);
+  for (auto& precondition : leader_preconditions) add_precondition(precondition);
   // A page that has to be split takes several operations. If it does not fit, a later page still
   // may.
-  if (all.ops.size() + changes.ops.size() > batch.limits.ops ||
-      all.preconditions.size() + changes.preconditions.size() > batch.limits.preconditions)
-    return;
-  for (auto& precondition : changes.preconditions)
-    if (!is_in_batch(precondition)) all.preconditions.push_back(std::move(precondition));
-  for (auto& op : changes.ops) all.ops.push_back(std::move(op));
+  [[maybe_unused]] const bool is_appended =
+      state::append_within(batch.limits, std::move(part), batch.transaction);
 }
 
 }  // namespace shunttrail::controller
--- a/src/jobs/state_transitions.cpp
+++ b/src/jobs/state_transitions.cpp
@@ -16,33 +16,31 @@
   return wire::encode_record_within(record, max_bytes);
 }
 
-/// Adds the operations and preconditions that take a job out of the waiting state.
-void add_removal(const std::string& id, const state::JobEntry& job, wire::Transaction& txn) {
+/// Returns the transaction that deletes a job's waiting key.
+wire::Transaction removal(const std::string& id, const state::JobEntry& job) {
+  wire::Transaction txn;
   txn.preconditions.emplace_back(state::waiting_key(id), job.mod_revision);
   txn.preconditions.emplace_back(state::job_result_key(id), 0);
   txn.ops.push_back({state::waiting_key(id), std::nullopt, 0});
+  return txn;
 }
 
-/// Adds the operations that move a ready job to the key of jobs that may start.
-void add_start(const std::string& id, const state::JobEntry& job, std::string value,
-               wire::Transaction& txn) {
-  add_removal(id, job, txn);
+/// Returns the transaction that moves a ready job to the key of jobs that may start.
+wire::Transaction start(const std::string& id, const state::JobEntry& job, std::string value) {
+  wire::Transaction txn = removal(id, job);
   txn.preconditions.emplace_back(state::job_key(id), 0);
   txn.ops.push_back({state::job_key(id), std::move(value), 0});
+  return txn;
 }
 
-/// Adds the operation that writes a doomed job's cancelled result.
-void add_cancellation(const std::string& id, const state::JobEntry& job, const std::string& tag,
-                      StateTransitions& out) {
-  add_removal(id, job, out.txn);
-  wire::JobResultRecord result = wire::cancelled_record(job.record.spec, tag);
-  out.txn.ops.push_back({state::job_result_key(id), wire::encode_record(result), 0});
-  out.results.emplace_back(id, std::move(result));
+/// Returns the transaction that writes a doomed job's result.
+wire::Transaction cancellation(const std::string& id, const state::JobEntry& job,
+                               const wire::JobResultRecord& result) {
+  wire::Transaction txn = removal(id, job);
+  txn.ops.push_back({state::job_result_key(id), wire::encode_record(result), 0});
+  return txn;
 }
 
-/// The operations that one job needs: its waiting key is deleted and another key is set.
-constexpr std::size_t kOpsPerJob = 2;
-
 }  // namespace
 
 StateTransitions state_transitions(const state::StateCache& cache, const DependencyGraph& graph,
@@ -51,15 +49,18 @@
                                    const std::function<bool(const std::string&)>& is_led_here) {
   StateTransitions out;
   for (const std::string& id : ready ? graph.ready() : graph.doomed()) {
-    if (out.txn.ops.size() + kOpsPerJob > limits.ops) break;
+    if (out.txn.ops.size() >= limits.ops) break;
     const state::JobEntry* job = cache.waiting(id);
     if (!job || !is_led_here(id)) continue;
-    if (!ready) {
-      add_cancellation(id, *job, tag, out);
-      continue;
+    if (ready) {
+      std::string value = start_value(*job, wall_now, limits.value_bytes);
+      if (value.size() > limits.value_bytes) continue;
+      if (!state::append_within(limits, start(id, *job, std::move(value)), out.txn)) break;
+    } else {
+      wire::JobResultRecord result = wire::cancelled_record(job->record.spec, tag);
+      if (!state::append_within(limits, cancellation(id, *job, result), out.txn)) break;
+      out.results.emplace_back(id, std::move(result));
     }
-    std::string value = start_value(*job, wall_now, limits.value_bytes);
-    if (value.size() <= limits.value_bytes) add_start(id, *job, std::move(value), out.txn);
   }
   return out;
 }
@@ -76,10 +77,10 @@
     if (!job || !is_led_here(id)) continue;
     std::string value = start_value(*job, wall_now, limits.value_bytes);
     if (value.size() <= limits.value_bytes) continue;
-    OversizedStart start{id, value.size(), {}};
-    add_start(id, *job, std::move(value), start.txn);
-    if (is_next) return start;
-    first = std::move(start);
+    const std::size_t value_bytes = value.size();
+    OversizedStart oversized{id, value_bytes, start(id, *job, std::move(value))};
+    if (is_next) return oversized;
+    first = std::move(oversized);
   }
   return first;
 }
--- a/src/scheduler/delegation_planner.cpp
+++ b/src/scheduler/delegation_planner.cpp
@@ -124,9 +124,10 @@
   const std::size_t max_bytes = draft.limits.value_bytes - reserve;
   std::string value = wire::encode_record_within(record, max_bytes);
   if (value.size() > max_bytes) return false;
-  transaction.preconditions.emplace_back(key, draft.cache.mod_revision(key));
-  transaction.ops.push_back({key, std::move(value), 0});
-  return true;
+  wire::Transaction part;
+  part.preconditions.emplace_back(key, draft.cache.mod_revision(key));
+  part.ops.push_back({key, std::move(value), 0});
+  return state::append_within(draft.limits, std::move(part), transaction);
 }
 
 // ---- closing and removing
--- a/src/state/limits.cpp
+++ b/src/state/limits.cpp
@@ -1,6 +1,10 @@
 #include "state/limits.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "wire/state_codec.h"
 
 namespace shunttrail::state {
 namespace {
@@ -15,21 +19,44 @@
 /// 429 responses within this time are to requests sent at one rate, so they lower the rate once.
 constexpr double kRefusalWindowS = 1;
 
-std::size_t bytes(double kilobytes) { return static_cast<std::size_t>(kilobytes * 1024); }
-
 /// Returns three quarters of a rejected size, but at least `minimum`.
 std::size_t reduced(std::size_t refused, std::size_t minimum) {
   return std::max(minimum, refused * 3 / 4);
 }
 
+/// The bytes of a transaction that its parts leave to preconditions which they share.
+constexpr std::size_t kSharedBytes = 512;
+
+/// Moves the elements of `from` to the end of `to`.
+template <typename T>
+void move_to_end(std::vector<T>& from, std::vector<T>& to) {
+  to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+}
+
 }  // namespace
 
+bool append_within(const TransactionLimits& limits, wire::Transaction part,
+                   wire::Transaction& whole) {
+  if (whole.ops.size() + part.ops.size() > limits.ops) return false;
+  if (whole.preconditions.size() + part.preconditions.size() > limits.preconditions) return false;
+  const std::size_t bytes =
+      wire::encode_transaction(whole).size() + wire::encode_transaction(part).size();
+  if (bytes + kSharedBytes > kMaxTransactionBytes) return false;
+  move_to_end(part.ops, whole.ops);
+  move_to_end(part.preconditions, whole.preconditions);
+  return true;
+}
+
+std::size_t Limits::value_bytes(double kilobytes) {
+  return std::min(kMaxValueBytes, static_cast<std::size_t>(kilobytes * 1024));
+}
+
 Limits::Limits(const config::Settings& settings)
-    : present_{bytes(settings.state_limits.value_kb),
+    : present_{value_bytes(settings.state_limits.value_kb),
                static_cast<std::size_t>(settings.state_limits.txn_ops),
                kPreconditionsPerOp * static_cast<std::size_t>(settings.state_limits.txn_ops)},
       transaction_limits_{
-          std::min(present_.value_bytes, bytes(settings.state_next.value_kb)),
+          std::min(present_.value_bytes, value_bytes(settings.state_next.value_kb)),
           std::min(present_.ops, static_cast<std::size_t>(settings.state_next.txn_ops))} {}
 
 void Limits::too_large(std::size_t longest_value, std::size_t ops) {
--- a/src/state/limits.h
+++ b/src/state/limits.h
@@ -6,9 +6,13 @@
 #include <cstdint>
 
 #include "config/settings.h"
+#include "wire/types.h"
 
 namespace shunttrail::state {
 
+/// The largest encoded transaction, in bytes (PROTOCOL: 64 KiB overall).
+inline constexpr std::size_t kMaxTransactionBytes = std::size_t{64} * 1024;
+
 /// The size limits of one transaction. The protocol allows four preconditions for each operation. A
 /// larger cluster needs more transactions, not larger ones.
 struct TransactionLimits {
@@ -17,6 +21,12 @@
   std::size_t preconditions = 48;
 };
 
+/// Appends the operations and preconditions of `part` to `whole` if the result is within the limits
+/// and leaves space for a few preconditions that all parts share. Returns false, and appends
+/// nothing, if it is not. The length of values is not checked.
+[[nodiscard]] bool append_within(const TransactionLimits& limits, wire::Transaction part,
+                                 wire::Transaction& whole);
+
 /// Tracks the size limits of transactions.
 class Limits {
  public:
@@ -41,6 +51,11 @@
 
  private:
   static constexpr std::size_t kPreconditionsPerOp = 4;
+  /// The bytes of a transaction that its longest value leaves to keys, preconditions and short
+  /// values.
+  static constexpr std::size_t kTransactionOverheadBytes = 1024;
+  static constexpr std::size_t kMaxValueBytes = kMaxTransactionBytes - kTransactionOverheadBytes;
+  static std::size_t value_bytes(double kilobytes);
 
   TransactionLimits present_;
   TransactionLimits transaction_limits_;
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -380,6 +380,7 @@
     while (auto transaction = next_transaction(shard)) finish(shard, *transaction);
   }
   void finish(int shard, const wire::Transaction& transaction) {
+    EXPECT_LE(wire::encode_transaction(transaction).size(), state::kMaxTransactionBytes);
     auto& scheduler = *shards_[static_cast<std::size_t>(shard)];
     const bool is_applied = store_.commit(transaction).has_value();
     read();
@@ -528,6 +529,22 @@
   EXPECT_LE(store_.keys.at(key).value.size(), limits_.value_bytes);
 }
 
+// Guards against delegations of several jobs with long records, whose transaction was longer than
+// the state service accepts.
+TEST_F(TwoShards, DelegationsOfLongRecordsShareNoTransaction) {
+  submit(make_job(1, 4, 1));
+  run_seconds(3);
+  for (const int number : {2, 3}) {
+    wire::JobRecord job = make_job(number, 1, 1);
+    job.spec.types = std::vector<std::string>(900, std::string(40, 't'));
+    job.spec.types->push_back("t4");
+    submit(job);
+  }
+  limits_.value_bytes = 60000;
+  run_seconds(40);
+  EXPECT_EQ(running_red_tasks(1), 2u);
+}
+
 // The next leader of either shard recovers delegations from the stored state.
 TEST_F(TwoShards, DelegationsContinueAfterEitherShardsLeaderChanges) {
   submit(make_job(1, 4, 1));
--- a/tests/state_transitions_test.cpp
+++ b/tests/state_transitions_test.cpp
@@ -10,6 +10,8 @@
 namespace shunttrail::test {
 namespace {
 
+const std::string kTypeName(100, 't');
+
 // Jobs that wait for one job, which is done.
 struct ReadyJobs {
   config::Settings settings = make_settings(1);
@@ -21,7 +23,7 @@
   // Returns the length of the job's record.
   std::size_t add(int number, std::size_t padding) {
     wire::JobRecord record = make_job(number, 1, 1);
-    record.spec.job_class += std::string(padding, '-');
+    record.spec.types = std::vector<std::string>(padding / kTypeName.size(), kTypeName);
     record.spec.dependencies = {needed};
     record.submitted_at = 1796364123.1234567;
     const std::string value = wire::encode_record(record);
@@ -102,5 +104,17 @@
   EXPECT_EQ(jobs.oversized_after("", limit + 100), "");
 }
 
+// Guards against transactions that the state service rejects for their total length, although each
+// value is within the limit.
+TEST(StateTransitions, TransactionsOfLongRecordsStayWithinTheTotalLength) {
+  ReadyJobs jobs;
+  for (int number = 1; number <= 6; ++number) jobs.add(number, 25000);
+  jobs.read();
+  const auto transitions = jobs::state_transitions(jobs.cache, jobs.graph, true, {32768, 16, 64},
+                                                   1796364131, "t", ReadyJobs::is_led_here);
+  EXPECT_EQ(transitions.txn.ops.size(), 4u);
+  EXPECT_LE(wire::encode_transaction(transitions.txn).size(), state::kMaxTransactionBytes);
+}
+
 }  // namespace
 }  // namespace shunttrail::test
