tests: work goes on after the limits are lowered; one reader of the range of seeds

Four test files each read SHUNTTRAIL_HISTORIES in their own way, two of them without an error if it is malformed. Change: StateLimits.WorkGoesOnAfterTheLimitsAreLowered plays ten histories, half with limits lower than announced, in which a leader ends too. InventoryPage.AChangeUnderLoweredLimitsFitsOneTransaction changes each machine of a page of 94 under both announced lowerings (4 to 2 KiB and 4 operations, 32 to 2 KiB and 5). read_seed_range and each_seed are in named_faults.h.

--- a/tests/fault_combinations_answers_test.cpp
+++ b/tests/fault_combinations_answers_test.cpp
@@ -4,8 +4,6 @@
 // linearizable register (RuleChecker::check_answer).
 #include <gtest/gtest.h>
 
-#include <cstdio>
-#include <cstdlib>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -131,9 +129,7 @@
 UserResults expect_consistent_answers(unsigned first, unsigned last, const SetOptions& set_options,
                                       const std::vector<std::string>& named = {}) {
   UserResults all;
-  // SHUNTTRAIL_HISTORIES=FIRST-LAST replaces the seeds.
-  if (const char* range = std::getenv("SHUNTTRAIL_HISTORIES"))
-    if (std::sscanf(range, "%u-%u", &first, &last) != 2) ADD_FAILURE() << range;
+  read_seed_range(first, last);
   for (unsigned seed = first; seed <= last; ++seed) {
     UserResults results = play_user_history(seed, set_options, named);
     EXPECT_EQ(results.broken, std::vector<std::string>{})
--- a/tests/fault_combinations_delegation_test.cpp
+++ b/tests/fault_combinations_delegation_test.cpp
@@ -2,8 +2,6 @@
 // of both leaders, of the state service and of machines, and users cancel jobs.
 #include <gtest/gtest.h>
 
-#include <cstdio>
-#include <cstdlib>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,17 +19,6 @@
 
 const char* const kTeams[] = {"red", "blue", "green", "white"};
 
-// SHUNTTRAIL_HISTORIES=FIRST-LAST replaces the seeds.
-void each_seed(unsigned last, const std::function<void(unsigned)>& play) {
-  unsigned first = 1;
-  if (const char* range = std::getenv("SHUNTTRAIL_HISTORIES"))
-    std::sscanf(range, "%u-%u", &first, &last);
-  for (unsigned seed = first; seed <= last; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    play(seed);
-  }
-}
-
 // The numbers of transactions that open and close a delegation, as sent to the state service.
 struct DelegationWrites {
   int opened = 0, closed = 0;
--- a/tests/fault_combinations_limits_test.cpp
+++ b/tests/fault_combinations_limits_test.cpp
@@ -4,8 +4,6 @@
 #include <spdlog/spdlog.h>
 
 #include <cmath>
-#include <cstdio>
-#include <cstdlib>
 
 #include "fault_combinations.h"
 
@@ -19,16 +17,7 @@
 
 using Strings = std::vector<std::string>;
 
-// SHUNTTRAIL_HISTORIES=FIRST-LAST replaces the seeds of each test.
-void each_seed(const std::function<void(unsigned)>& play) {
-  unsigned first = 1, last = 25;
-  if (const char* range = std::getenv("SHUNTTRAIL_HISTORIES"))
-    std::sscanf(range, "%u-%u", &first, &last);
-  for (unsigned seed = first; seed <= last; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    play(seed);
-  }
-}
+constexpr unsigned kHistories = 25;  // of each test
 
 // Ends the faults and expects that all jobs end, users get answers, and no machine stays rented
 // without tasks.
@@ -180,7 +169,7 @@
 
 void expect_limits(bool leader_first) {
   int seeds = 0, at_limit = 0, cancelled = 0;
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     AtLimit scenario(seed, leader_first);
     end_faults_and_finish(scenario.cluster);
     // Waiting with free capacity is tested separately.
@@ -202,7 +191,7 @@
 
 // Once the faults have ended, freed capacity is used: no task waits for 90 s with free capacity.
 TEST(Limits, FreedCapacityIsUsedOnceTheFaultsHaveEnded) {
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     for (const bool leader_first : {false, true}) {
       AtLimit scenario(seed, leader_first);
       end_faults_and_finish(scenario.cluster);
@@ -254,7 +243,7 @@
 // late, lists are out of date, some jobs are cancelled and the leader ends.
 TEST(Limits, NewMachinesAreUsedWhileWritesLagAndTheLeaderEnds) {
   int seeds = 0, with_machines = 0, cancelled = 0;
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     ++seeds;
     ClusterOptions options;
     options.controllers = 2 + static_cast<int>(seed % 4);
@@ -310,7 +299,7 @@
 TEST(Limits, JobsBoundToZonesFinishAfterTheirMachinesFail) {
   std::uint64_t done = 0;
   int seeds = 0, lost = 0;
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     ++seeds;
     ClusterOptions options;
     options.controllers = 2 + static_cast<int>(seed % 4);
@@ -361,7 +350,7 @@
 // shards.
 TEST(Limits, CancellationsDuringLeaderChangesBreakNoRule) {
   int seeds = 0, changes = 0, cancelled = 0;
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     ++seeds;
     ClusterOptions options;
     options.controllers = 2 + static_cast<int>(seed % 3);
@@ -556,7 +545,7 @@
 
 TEST(Limits, OverloadStartsHalfOfTheJobsOfEachClassAndTeam) {
   int seeds = 0, waited = 0, never_started = 0;
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     ++seeds;
     Overload overload(seed);
     std::map<std::string, StartCounts> counts_by_group;
@@ -582,7 +571,7 @@
 
 TEST(Limits, OverloadStartsHalfOfEachClassesLargestJobsWithinFourMinutes) {
   int seeds = 0, possible = 0;
-  each_seed([&](unsigned seed) {
+  each_seed(kHistories, [&](unsigned seed) {
     ++seeds;
     Overload overload(seed);
     std::map<std::string, double> size;  // of the largest job, by class
--- a/tests/fault_combinations_state_limits_test.cpp
+++ b/tests/fault_combinations_state_limits_test.cpp
@@ -109,5 +109,41 @@
   }
 }
 
+// Submits jobs with up to 40 tasks, most of which wait for earlier ones.
+void submit_pipeline(SimulatedCluster& cluster, int count, Strings& jobs) {
+  auto& sim = cluster.sim();
+  for (int i = 0; i < count; ++i) {
+    const auto tasks = static_cast<std::uint32_t>(1 + sim.rng()() % 40);
+    wire::JobSpec job = spec(sim.chance(0.5) ? "red" : "blue", tasks);
+    if (!jobs.empty() && sim.chance(0.7)) job.dependencies = {jobs[sim.rng()() % jobs.size()]};
+    jobs.push_back(cluster.users().submit(std::move(job), sim.draw(1, 4)));
+    cluster.run_for(sim.draw(0, 2));
+  }
+}
+
+// Guards against any record that is written under the first limits and can't be rewritten under
+// lower ones: the limits are lowered amid work, as announced or not, and the leader ends.
+TEST(StateLimits, WorkGoesOnAfterTheLimitsAreLowered) {
+  each_seed(10, [](unsigned seed) {
+    const bool is_announced = seed % 2 == 0;
+    SimulatedCluster cluster(seed,
+                             limits_with_announced(is_announced ? kLowerLimits : kFirstLimits));
+    cluster.run_for(kStartS);
+    Strings jobs;
+    submit_pipeline(cluster, 12, jobs);
+    cluster.faults().change_state_limits(kLowerLimits);
+    submit_pipeline(cluster, 6, jobs);
+    cluster.faults().kill(cluster.controllers().random_leader(), cluster.sim().draw(0.2, 10));
+    submit_pipeline(cluster, 6, jobs);
+    cluster.run_for(20);
+    cluster.rules().faults_have_ended();
+    cluster.run_for(400);
+    cluster.query_all_controllers();
+    EXPECT_EQ(not_done(cluster, jobs), Strings{});
+    EXPECT_EQ(cluster.rules().broken(), Strings{});
+    if (is_announced) EXPECT_EQ(cluster.oversized_transactions(), 0u);
+  });
+}
+
 }  // namespace
 }  // namespace shunttrail::test
--- a/tests/fault_combinations_test.cpp
+++ b/tests/fault_combinations_test.cpp
@@ -170,14 +170,6 @@
   std::vector<std::string> faults;
 };
 void PrintTo(const NamedCombination& combination, std::ostream* out) { *out << combination.name; }
-// Reads the seeds to play instead from SHUNTTRAIL_HISTORIES=FIRST-LAST. Returns false if it is
-// unset.
-bool read_seed_range(unsigned& first, unsigned& last) {
-  const char* range = std::getenv("SHUNTTRAIL_HISTORIES");
-  if (!range) return false;
-  if (std::sscanf(range, "%u-%u", &first, &last) != 2) ADD_FAILURE() << range;
-  return true;
-}
 class NamedFaults : public ::testing::TestWithParam<NamedCombination> {};
 TEST_P(NamedFaults, BreakNoRuleAndForgetNoJob) {
   unsigned first = 1, last = 25;
--- a/tests/named_faults.h
+++ b/tests/named_faults.h
@@ -1,5 +1,10 @@
 /// The faults that fault combination tests select by name, and the jobs that the tests submit.
 #pragma once
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -13,6 +18,25 @@
 using simulation::SimulatedCluster;
 using simulation::SimulatedJob;
 
+/// Reads the seeds to play instead from SHUNTTRAIL_HISTORIES=FIRST-LAST. Returns false if it is
+/// unset.
+inline bool read_seed_range(unsigned& first, unsigned& last) {
+  const char* range = std::getenv("SHUNTTRAIL_HISTORIES");
+  if (!range) return false;
+  if (std::sscanf(range, "%u-%u", &first, &last) != 2) ADD_FAILURE() << range;
+  return true;
+}
+
+/// Plays the seeds from 1 to `last`, or those that SHUNTTRAIL_HISTORIES names.
+inline void each_seed(unsigned last, const std::function<void(unsigned)>& play) {
+  unsigned first = 1;
+  read_seed_range(first, last);
+  for (unsigned seed = first; seed <= last; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    play(seed);
+  }
+}
+
 /// Returns the specification of a job of small tasks that may run on spot machines.
 inline wire::JobSpec spec(const std::string& team, std::uint32_t tasks, double cpus = 1) {
   wire::JobSpec job;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -202,6 +202,57 @@
 
 // An inventory page that is too long for a lowered limit is split. Every machine is recorded
 // exactly once at all times, whichever of two nodes' concurrent changes succeed.
+// Returns names without numbers that share an inventory page.
+std::vector<std::string> names_of_one_page(std::size_t count) {
+  std::vector<std::string> names;
+  for (int n = 0; names.size() < count; ++n) {
+    std::string name = "machine-of-the-fleet-";
+    for (int rest = n, i = 0; i < 4; ++i, rest /= 26) name += static_cast<char>('a' + rest % 26);
+    if (names.empty() || state::inventory_page(name) == state::inventory_page(names.front()))
+      names.push_back(name);
+  }
+  return names;
+}
+
+// Guards against machines that can be neither added nor removed once the limits are lowered, since
+// splitting their page takes more operations than a transaction may have. The page is that of 6,000
+// machines without numbers, which share 64 pages.
+TEST(InventoryPage, AChangeUnderLoweredLimitsFitsOneTransaction) {
+  struct Lowering {
+    std::size_t first_bytes, bytes, ops;
+  };
+  for (const Lowering& limits : {Lowering{4096, 2048, 4}, Lowering{32768, 2048, 5}}) {
+    SCOPED_TRACE(std::to_string(limits.first_bytes));
+    config::Settings settings = make_settings();
+    Store store;
+    state::StateCache cache(settings);
+    std::vector<state::Change> changes;
+    const auto names = names_of_one_page(94);
+    const int number = state::inventory_page(names.front());
+    const auto record = [](const std::string& name, int shard) {
+      return wire::MachineRecord{name,  "a-type-with-a-name", "zone-with-a-name", true, shard,
+                                 123456};
+    };
+    for (const auto& name : names) {
+      shard::InventoryPage page(cache, number);
+      page.set(record(name, 0));
+      ASSERT_TRUE(store.commit(page.changes(limits.first_bytes, "tag")));
+      store.read(cache, changes);
+    }
+    for (const auto& name : names) {
+      shard::InventoryPage page(cache, number);
+      page.set(record(name, 1));
+      const wire::Transaction txn = page.changes(limits.bytes, "tag");
+      EXPECT_FALSE(txn.ops.empty()) << name;
+      EXPECT_LE(txn.ops.size(), limits.ops) << name;
+      EXPECT_LE(txn.preconditions.size() + 1, 4 * limits.ops) << name;  // and a leader's key
+      ASSERT_TRUE(store.commit(txn));
+      store.read(cache, changes);
+    }
+    EXPECT_EQ(cache.machines().size(), names.size());
+  }
+}
+
 RC_GTEST_PROP(InventoryPage, SplitPagesHoldEveryMachineOnce, ()) {
   config::Settings settings = make_settings();
   Store store;
