--- a/tests/fault_combinations_state_limits_test.cpp
+++ b/tests/fault_combinations_state_limits_test.cpp
@@ -141,7 +141,9 @@
     cluster.query_all_controllers();
     EXPECT_EQ(not_done(cluster, jobs), Strings{});
     EXPECT_EQ(cluster.rules().broken(), Strings{});
-    if (is_announced) EXPECT_EQ(cluster.oversized_transactions(), 0u);
+    if (is_announced) {
+      EXPECT_EQ(cluster.oversized_transactions(), 0u);
+    }
   });
 }
 
