controller: records above the limits are searched for every ten seconds, not on each advance

Cause: write_oversized_start looked for a job above the limits whenever the dependency graph advanced, up to 25 times a second, and encoded the record of every ready job for it, also where no job was above them. With thousands of ready jobs, as after one that they all need, that is work on the path on which these jobs move. Change: the search itself counts as a try, so there is one in ten seconds; after a job has become ready the next search follows at once, as before. The first try of such a job may come ten seconds later than before. The comment of InventoryPage.SplitPagesHoldEveryMachineOnce stands above its test again.

--- a/src/controller/job_results.cpp
+++ b/src/controller/job_results.cpp
@@ -275,7 +275,10 @@
 // A ready job whose record is above the known limits is tried by itself, so that no other job waits
 // for it.
 void JobResults::write_oversized_start() {
-  if (!oversized_writer_.is_due(loop_.now())) return;
+  const double now = loop_.now();
+  if (!oversized_writer_.is_due(now)) return;
+  // The search encodes the record of every ready job.
+  oversized_writer_.retry_at = now + oversized_writer_.retry_delay_s;
   const state::TransactionLimits limits = components_.state_client.limits().transaction_limits();
   std::optional<jobs::OversizedStart> start = jobs::oversized_start(
       components_.state_store->cache(), dependencies_, limits, loop_.wall_now(), last_oversized_id_,
@@ -301,6 +304,7 @@
             writer.is_in_flight = false;
             if (committed.kind == state::CommitResult::applied) {
               writer.transitioned_jobs += transitioned_jobs;
+              writer.retry_at = loop_.now();
               for (const auto& [id, result] : results) cache_result(id, result);
             } else {
               // The commit lost a race, or its outcome is unknown. The retry is decided by the
--- a/src/controller/job_results.h
+++ b/src/controller/job_results.h
@@ -65,8 +65,9 @@
   enum class Transition { to_ready, to_cancelled };
   /// Delay after a transition that was not applied.
   static constexpr double kTransitionRetryDelayS = 0.3;
-  /// The same for a record that is above the known limits: the transaction will probably be
-  /// rejected, and takes a part of the write rate.
+  /// Delay between two searches for a ready job whose record is above the known limits, unless the
+  /// last one that was found has become ready: its transaction will probably be rejected, and takes
+  /// a part of the write rate.
   static constexpr double kOversizedRetryDelayS = 10;
   /// The commits of one kind of transition, of which at most one is in flight.
   struct TransitionWriter {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -200,8 +200,6 @@
   EXPECT_GT(rate.rate(602), 4);  // the rate never falls to zero
 }
 
-// An inventory page that is too long for a lowered limit is split. Every machine is recorded
-// exactly once at all times, whichever of two nodes' concurrent changes succeed.
 // Returns names without numbers that share an inventory page.
 std::vector<std::string> names_of_one_page(std::size_t count) {
   std::vector<std::string> names;
@@ -253,6 +251,8 @@
   }
 }
 
+// An inventory page that is too long for a lowered limit is split. Every machine is recorded
+// exactly once at all times, whichever of two nodes' concurrent changes succeed.
 RC_GTEST_PROP(InventoryPage, SplitPagesHoldEveryMachineOnce, ()) {
   config::Settings settings = make_settings();
   Store store;
