--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -38,11 +38,15 @@
         return probe.getsockname()[1]
 
 
+def encode(value):
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
 def request(port, method, path, body=None, timeout=5.0):
     """Returns (status, parsed body); status 0 if there was no answer."""
     try:
         connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
-        data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+        data = body if body is None or isinstance(body, bytes) else encode(body)
         connection.request(method, path, data, {"Content-Type": "application/json"})
         answer = connection.getresponse()
         text = answer.read()
@@ -587,6 +591,11 @@
     """Runs `case(rig)`, which returns True if the rule held. Exits with 0, 1 or 2."""
     rig = None
     status = 2
+
+    def stop(*_):
+        raise CannotRun("it took too long")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         rig = Rig(folder)
         held = case(rig)
