A job counts as never accepted only if a read has shown it; a result comes with its lookup

What callers saw: a submission that awaits accepted jobs only is answered 422 "never accepted" and lost, without any crash, if (1) 4,000 results are in memory and the oldest ones that it names are dropped while others are read, (2) a dependency ends while the results of others are read, or (3) the final record of one cannot be decoded. (2) needs no more than two dependencies.

Cause: lookups told "found" without the record, and JobSubmission::check_dependencies concluded from its absence in the bounded memory, after the last read, that the job was never accepted. What one pass had known could be gone in the next.

Change: a lookup gives the record, "not stored" or "unread" (jobs::ResultLookup), so no caller looks in memory for what a read has found. A submission keeps what it has looked up; only "not stored" refuses it, what has become unknown meanwhile is read again, and a record that cannot be decoded gives 503. Queries and withdrawals use the same type, which also answers those whose record is dropped before the answer is sent.

--- a/src/controller/job_queries.cpp
+++ b/src/controller/job_queries.cpp
@@ -48,16 +48,14 @@
 
 void JobQueries::respond_with_result(const net::ExchangePtr& exchange, const std::string& id,
                                      JobStateDetail detail, std::function<void()> on_unknown) {
-  using LookupResult = JobResults::LookupResult;
   components_.job_results->lookup(
-      id, actor_.reply<LookupResult>(
-              [this, exchange, id, detail, on_unknown = std::move(on_unknown)](LookupResult found) {
-                if (found == LookupResult::no) return on_unknown();
-                const auto* result = components_.job_results->cached_result(id);
-                if (found == LookupResult::unread || !result)
-                  return exchange->send(unavailable_response());
-                exchange->send(job_result_response(id, *result, detail));
-              }));
+      id,
+      actor_.reply<jobs::ResultLookup>([exchange, id, detail, on_unknown = std::move(on_unknown)](
+                                           const jobs::ResultLookup& lookup) {
+        if (jobs::is_not_stored(lookup)) return on_unknown();
+        const auto* result = jobs::found_record(lookup);
+        exchange->send(result ? job_result_response(id, *result, detail) : unavailable_response());
+      }));
 }
 
 // Derives a waiting job's state from the jobs that it depends on. The job's own record may be out
@@ -74,17 +72,22 @@
 void JobQueries::on_waiting_state(const Query& query, JobResults::DependencyStates states) {
   using DependencyState = jobs::DependencyGraph::DependencyState;
   const DependencyState state = states.of[0];
-  if (state == DependencyState::unread)
-    return components_.job_results->lookup_all(
-        std::move(states.missing), actor_.reply<bool>([this, query](bool is_read) {
-          if (!is_read) return query.exchange->send(unavailable_response());
-          Query next = query;
-          --next.attempts_left;
-          run(next);
-        }));
+  if (state == DependencyState::unread) return read_missing(query, std::move(states.missing));
   const auto shown =
       state == DependencyState::queued ? wire::JobState::queued : wire::JobState::cancelled;
   query.exchange->send(job_state_response(query.id, shown, 0, 0, query.detail));
 }
 
+// Reads the final records that a waiting job's state depends on, and runs the query again.
+void JobQueries::read_missing(const Query& query, std::vector<std::string> missing) {
+  components_.job_results->lookup_all(
+      std::move(missing),
+      actor_.reply<jobs::ResultLookups>([this, query](const jobs::ResultLookups& lookups) {
+        if (jobs::any_unread(lookups)) return query.exchange->send(unavailable_response());
+        Query next = query;
+        --next.attempts_left;
+        run(next);
+      }));
+}
+
 }  // namespace shunttrail::controller
--- a/src/controller/job_queries.h
+++ b/src/controller/job_queries.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "actor/loop.h"
 #include "controller/components.h"
@@ -43,6 +44,7 @@
   void respond_from_cache(const Query& query);
   void respond_waiting(const Query& query);
   void on_waiting_state(const Query& query, JobResults::DependencyStates states);
+  void read_missing(const Query& query, std::vector<std::string> missing);
 
   actor::Actor& actor_;
   ControllerComponents& components_;
--- a/src/controller/job_results.cpp
+++ b/src/controller/job_results.cpp
@@ -74,26 +74,27 @@
   }
 }
 
-void JobResults::lookup(std::string id, std::function<void(LookupResult)> then) {
+void JobResults::lookup(std::string id, std::function<void(jobs::ResultLookup)> then) {
   post([this, id = std::move(id), then = std::move(then)] { read(id, then); });
 }
 
-void JobResults::lookup_all(std::vector<std::string> ids, std::function<void(bool)> then) {
-  if (ids.empty()) return then(true);
+void JobResults::lookup_all(std::vector<std::string> ids,
+                            std::function<void(jobs::ResultLookups)> then) {
+  if (ids.empty()) return then({});
   post([this, ids = std::move(ids), then = std::move(then)] {
     auto pending = std::make_shared<std::size_t>(ids.size());
-    auto are_all_read = std::make_shared<bool>(true);
+    auto lookups = std::make_shared<jobs::ResultLookups>();
     for (const auto& id : ids)
-      read(id, [pending, are_all_read, then](LookupResult result) {
-        *are_all_read &= result != LookupResult::unread;
-        if (--*pending == 0) then(*are_all_read);
+      read(id, [pending, lookups, id, then](const jobs::ResultLookup& lookup) {
+        lookups->insert_or_assign(id, lookup);
+        if (--*pending == 0) then(std::move(*lookups));
       });
   });
 }
 
-void JobResults::read(const std::string& id, std::function<void(LookupResult)> then) {
-  if (results_.contains(id)) return then(LookupResult::yes);
-  if (!reader_.request(id, then)) return then(LookupResult::unread);
+void JobResults::read(const std::string& id, jobs::ResultReader::Callback then) {
+  if (const auto* result = cached_result(id)) return then(*result);
+  if (!reader_.request(id, then)) return then(jobs::ResultUnread{});
   send_reads();
 }
 
@@ -116,41 +117,48 @@
                                   const net::Result& response) {
   if (!read.range && response.status == 404) return reader_.answered(read, {}, false);
   if (response.status != 200) return reader_.failed(read);
-  std::vector<std::string> found;
-  bool has_more = false;
+  wire::KeyPage page;
   try {
-    if (read.range) {
-      const wire::KeyPage page = wire::decode_keys(response.body);
-      has_more = page.more;
-      found = cache_range(page);
-    } else {
-      cache_result(read.id, wire::decode_job_result(*wire::decode_key(response.body).value));
-      found.push_back(read.id);
-    }
-  } catch (const wire::Malformed&) {
+    if (read.range)
+      page = wire::decode_keys(response.body);
+    else
+      page.items.push_back(wire::decode_key(response.body));
+  } catch (const wire::Malformed& error) {
+    spdlog::info("cannot decode a response with final records: {}", error.what());
     return reader_.failed(read);
   }
-  reader_.answered(read, found, has_more);
+  const auto found = cache_requested(page.items);
+  spdlog::debug("final records from {} on: {} found", read.id, found.size());
+  reader_.answered(read, found, page.more);
 }
 
-// Returns the ids of the page's jobs, all of which have ended. Caches only the records that a
-// caller waits for; the others would evict those. A record that cannot be decoded still counts as
-// found, and does not keep the other records from being returned.
-std::vector<std::string> JobResults::cache_range(const wire::KeyPage& page) {
+// Returns the jobs of these keys, all of which have ended, with the records that callers wait for.
+// Only these are decoded and cached; the others would evict them.
+std::vector<jobs::ResultReader::StoredResult> JobResults::cache_requested(
+    const std::vector<wire::Event>& items) {
   constexpr std::string_view kPrefix = state::kJobResults;
-  std::vector<std::string> found;
-  for (const auto& item : page.items) {
-    found.push_back(item.key.substr(kPrefix.size()));
-    if (!item.value || !reader_.is_waiting(found.back())) continue;
-    try {
-      cache_result(found.back(), wire::decode_job_result(*item.value));
-    } catch (const wire::Malformed& error) {
-      spdlog::error("cannot decode the final record {}: {}", item.key, error.what());
-    }
+  std::vector<jobs::ResultReader::StoredResult> found;
+  for (const auto& item : items) {
+    std::string id = item.key.substr(kPrefix.size());
+    auto record = cache_requested(item, id);
+    found.push_back({std::move(id), std::move(record)});
   }
   return found;
 }
 
+std::optional<wire::JobResultRecord> JobResults::cache_requested(const wire::Event& item,
+                                                                 const std::string& id) {
+  if (!item.value || !reader_.is_waiting(id)) return std::nullopt;
+  try {
+    wire::JobResultRecord record = wire::decode_job_result(*item.value);
+    cache_result(id, record);
+    return record;
+  } catch (const wire::Malformed& error) {
+    spdlog::error("cannot decode the final record {}: {}", item.key, error.what());
+    return std::nullopt;
+  }
+}
+
 // ---- waiting jobs
 
 // The states are computed in a message to this actor, and not read in another actor's turn. All
@@ -241,9 +249,9 @@
   for (const auto& id : dependencies_.unread()) {
     if (read_ahead_ids_.size() >= kMaxReadAhead) break;
     if (results_.contains(id) || !read_ahead_ids_.insert(id).second) continue;
-    read(id, [this, id](LookupResult result) {
+    read(id, [this, id](const jobs::ResultLookup& lookup) {
       read_ahead_ids_.erase(id);
-      if (result != LookupResult::yes) next_read_at_ = loop_.now() + kReadRetryDelayS;
+      if (!jobs::found_record(lookup)) next_read_at_ = loop_.now() + kReadRetryDelayS;
       schedule_advance();
     });
   }
--- a/src/controller/job_results.h
+++ b/src/controller/job_results.h
@@ -13,6 +13,7 @@
 #include "controller/state_store.h"
 #include "controller/tag_sequence.h"
 #include "jobs/dependency_graph.h"
+#include "jobs/result_lookup.h"
 #include "jobs/result_reader.h"
 #include "jobs/state_transitions.h"
 
@@ -53,13 +54,11 @@
   /// Caches a final record that this node has written.
   void result_written(std::string id, wire::JobResultRecord result);
 
-  using LookupResult = jobs::Found;
-  /// Reads one final record. A record that is found is cached (`cached_result`) before `then` is
-  /// called.
-  void lookup(std::string id, std::function<void(LookupResult)> then);
-  /// Reads several final records concurrently. Calls `then` with true if all reads succeeded,
-  /// whether or not records were found, and with false otherwise.
-  void lookup_all(std::vector<std::string> ids, std::function<void(bool)> then);
+  /// Looks up one final record, in the cache or by a read. A record that is found need not be
+  /// cached any more when `then` runs.
+  void lookup(std::string id, std::function<void(jobs::ResultLookup)> then);
+  /// Looks up several final records concurrently.
+  void lookup_all(std::vector<std::string> ids, std::function<void(jobs::ResultLookups)> then);
 
  private:
   enum class Transition { to_ready, to_cancelled };
@@ -80,10 +79,13 @@
   void on_changes(const std::vector<state::Change>& changes);
   void on_waiting_set(const std::string& id);
   void cache_result(const std::string& id, const wire::JobResultRecord& result);
-  void read(const std::string& id, std::function<void(LookupResult)> then);
+  void read(const std::string& id, jobs::ResultReader::Callback then);
   void send_reads();
   void on_read_response(const jobs::ResultReader::Read& read, const net::Result& response);
-  std::vector<std::string> cache_range(const wire::KeyPage& page);
+  std::vector<jobs::ResultReader::StoredResult> cache_requested(
+      const std::vector<wire::Event>& items);
+  [[nodiscard]] std::optional<wire::JobResultRecord> cache_requested(const wire::Event& item,
+                                                                     const std::string& id);
   void send_effective_priorities();
   void schedule_advance();
   void advance();
--- a/src/controller/job_submission.cpp
+++ b/src/controller/job_submission.cpp
@@ -1,5 +1,7 @@
 #include "controller/job_submission.h"
 
+#include <spdlog/spdlog.h>
+
 #include <utility>
 
 #include "controller/cloud_manager.h"
@@ -55,7 +57,7 @@
   if (!components_.state_store->fresh(kMaxReadAgeS))
     return refuse(exchange, unavailable_response(kUnreadRetryAfterS));
   job.submitted_at = loop_.wall_now();
-  check_dependencies(exchange, std::move(job), DependencyRead::cache);
+  check_dependencies({exchange, std::move(job), false, {}});
 }
 
 bool JobSubmission::is_accepted(const std::string& id) const {
@@ -78,8 +80,21 @@
 
 // ---- dependencies
 
-JobSubmission::Dependencies JobSubmission::classify_dependencies(const wire::JobSpec& job) const {
+// Returns the final record of a job if this submission or the cache knows it.
+const wire::JobResultRecord* JobSubmission::known_result(const PendingSubmission& pending,
+                                                         const std::string& id) const {
+  const auto lookup = pending.lookups.find(id);
+  if (lookup != pending.lookups.end())
+    if (const auto* record = jobs::found_record(lookup->second)) return record;
+  return components_.job_results->cached_result(id);
+}
+
+// A dependency that is in no memory of this node is unknown. Only a lookup that has shown that no
+// final record is stored proves that it was never accepted.
+JobSubmission::Dependencies JobSubmission::classify_dependencies(
+    const PendingSubmission& pending) const {
   const state::StateCache& cache = components_.state_store->cache();
+  const wire::JobSpec& job = pending.job.spec;
   Dependencies dependencies;
   for (const auto& id : job.dependencies) {
     if (id == job.id) {
@@ -88,7 +103,7 @@
     }
     const state::JobEntry* live = cache.job(id);
     if (!live) live = cache.waiting(id);
-    const wire::JobResultRecord* result = components_.job_results->cached_result(id);
+    const wire::JobResultRecord* result = known_result(pending, id);
     if ((live && live->record.spec.service) || (result && result->service)) {
       dependencies.error = "awaits names a service";
       return dependencies;
@@ -98,44 +113,58 @@
       dependencies.is_any_cancelled |= result->cancelled;
     else if (live)
       dependencies.unfinished.push_back(id);
+    else if (pending.lookups.contains(id))
+      dependencies.error = "awaits names a job that was never accepted";
     else
-      dependencies.not_found.push_back(id);
+      dependencies.unknown.push_back(id);
   }
   return dependencies;
 }
 
 // Checks that every dependency has been accepted at some time. An acceptance is never revoked, so
-// jobs in the cache need no new read. The others are searched for in two steps: first by a
+// jobs in the cache need no new read. Unknown ones are searched for in two steps: first by a
 // linearizable read, which shows jobs that another node has accepted an instant ago, and then among
-// the final records, all at once.
-void JobSubmission::check_dependencies(const net::ExchangePtr& exchange, wire::JobRecord job,
-                                       DependencyRead read) {
-  Dependencies dependencies = classify_dependencies(job.spec);
-  const bool any_not_found = !dependencies.not_found.empty();
-  if (dependencies.error.empty() && any_not_found && read == DependencyRead::job_results)
-    dependencies.error = "awaits names a job that was never accepted";
-  if (!dependencies.error.empty())
-    return respond_with_state_or(exchange, job.spec.id,
-                                 net::error_response(422, dependencies.error));
-  if (any_not_found)
-    return read_dependencies(exchange, std::move(job), read, std::move(dependencies.not_found));
+// the final records, all at once. A live dependency may end, and thereby become unknown, while the
+// final records of others are read: the steps are then repeated for it.
+void JobSubmission::check_dependencies(PendingSubmission pending) {
+  Dependencies dependencies = classify_dependencies(pending);
+  if (!dependencies.error.empty()) return refuse_dependencies(pending, dependencies.error);
+  if (!dependencies.unknown.empty()) {
+    if (!pending.is_cache_current) return read_current_cache(std::move(pending));
+    return look_up_results(std::move(pending), std::move(dependencies.unknown));
+  }
+  wire::JobRecord& job = pending.job;
   const bool has_dependencies = !job.spec.dependencies.empty();
   if (has_dependencies && dependencies.unfinished.empty()) job.ready_at = job.submitted_at;
   job.spec.dependencies = std::move(dependencies.unfinished);
-  accept(exchange, make_acceptance(job, dependencies.is_any_cancelled));
-}
-
-// Reads the next source for the dependencies that were not found, and checks again.
-void JobSubmission::read_dependencies(const net::ExchangePtr& exchange, wire::JobRecord job,
-                                      DependencyRead read, std::vector<std::string> not_found) {
-  const bool reads_state = read == DependencyRead::cache;
-  const auto next = reads_state ? DependencyRead::linearizable : DependencyRead::job_results;
-  auto check_again = actor_.reply<bool>([this, exchange, job = std::move(job), next](bool is_read) {
-    if (!is_read) return refuse(exchange, unavailable_response());
-    check_dependencies(exchange, job, next);
-  });
-  if (reads_state) return components_.state_store->linearizable_read(std::move(check_again));
-  components_.job_results->lookup_all(std::move(not_found), std::move(check_again));
+  accept(pending.exchange, make_acceptance(job, dependencies.is_any_cancelled));
+}
+
+void JobSubmission::refuse_dependencies(const PendingSubmission& pending,
+                                        const std::string& error) {
+  const std::string& id = pending.job.spec.id;
+  spdlog::info("the submission of {} is refused: {}", id, error);
+  respond_with_state_or(pending.exchange, id, net::error_response(422, error));
+}
+
+void JobSubmission::read_current_cache(PendingSubmission pending) {
+  components_.state_store->linearizable_read(
+      actor_.reply<bool>([this, pending = std::move(pending)](bool is_read) mutable {
+        if (!is_read) return refuse(pending.exchange, unavailable_response());
+        pending.is_cache_current = true;
+        check_dependencies(std::move(pending));
+      }));
+}
+
+void JobSubmission::look_up_results(PendingSubmission pending, std::vector<std::string> ids) {
+  components_.job_results->lookup_all(
+      std::move(ids), actor_.reply<jobs::ResultLookups>([this, pending = std::move(pending)](
+                                                            jobs::ResultLookups lookups) mutable {
+        if (jobs::any_unread(lookups)) return refuse(pending.exchange, unavailable_response());
+        pending.lookups.merge(std::move(lookups));
+        pending.is_cache_current = false;
+        check_dependencies(std::move(pending));
+      }));
 }
 
 // ---- acceptance
--- a/src/controller/job_submission.h
+++ b/src/controller/job_submission.h
@@ -10,6 +10,7 @@
 #include "controller/components.h"
 #include "controller/job_queries.h"
 #include "controller/tag_sequence.h"
+#include "jobs/result_lookup.h"
 #include "net/http.h"
 #include "state/client.h"
 #include "wire/types.h"
@@ -38,12 +39,19 @@
   [[nodiscard]] std::uint64_t refused() const { return refused_; }
 
  private:
-  /// The most authoritative source that has been read for the dependencies by the time of a check.
-  enum class DependencyRead { cache, linearizable, job_results };
+  /// A valid submission whose dependencies are being checked.
+  struct PendingSubmission {
+    net::ExchangePtr exchange;
+    wire::JobRecord job;
+    /// The cache is at least as new as the submission and the latest lookup.
+    bool is_cache_current = false;
+    jobs::ResultLookups lookups;  ///< the final records that have been looked up for it
+  };
   /// A job's dependencies by their known state. Finished ones are left out.
   struct Dependencies {
     std::vector<std::string> unfinished;
-    std::vector<std::string> not_found;
+    /// Neither live nor known to have ended; whether they were accepted has to be read.
+    std::vector<std::string> unknown;
     bool is_any_cancelled = false;
     std::string error;  ///< The reason for which the job is refused; empty if there is none.
   };
@@ -61,11 +69,13 @@
   void respond_with_state_or(const net::ExchangePtr& exchange, const std::string& id,
                              net::Answer otherwise);
   [[nodiscard]] bool is_accepted(const std::string& id) const;
-  [[nodiscard]] Dependencies classify_dependencies(const wire::JobSpec& job) const;
-  void check_dependencies(const net::ExchangePtr& exchange, wire::JobRecord job,
-                          DependencyRead read);
-  void read_dependencies(const net::ExchangePtr& exchange, wire::JobRecord job, DependencyRead read,
-                         std::vector<std::string> not_found);
+  [[nodiscard]] Dependencies classify_dependencies(const PendingSubmission& pending) const;
+  [[nodiscard]] const wire::JobResultRecord* known_result(const PendingSubmission& pending,
+                                                          const std::string& id) const;
+  void check_dependencies(PendingSubmission pending);
+  void refuse_dependencies(const PendingSubmission& pending, const std::string& error);
+  void read_current_cache(PendingSubmission pending);
+  void look_up_results(PendingSubmission pending, std::vector<std::string> ids);
   [[nodiscard]] Acceptance make_acceptance(const wire::JobRecord& job, bool is_cancelled);
   void accept(const net::ExchangePtr& exchange, Acceptance acceptance);
   void on_commit_result(const net::ExchangePtr& exchange, const Acceptance& acceptance,
--- a/src/jobs/result_reader.cpp
+++ b/src/jobs/result_reader.cpp
@@ -15,6 +15,20 @@
 /// The number of requested jobs from which on ranges are read instead of single keys.
 constexpr std::size_t kMinJobsForRange = 8;
 
+ResultLookup lookup_of(const ResultReader::StoredResult& result) {
+  if (!result.record) return ResultUnread{};
+  return *result.record;
+}
+
+/// Returns the lookup of a job by the results of a response, which are in key order.
+ResultLookup find_in(const std::vector<ResultReader::StoredResult>& found, const std::string& id) {
+  const auto at = std::lower_bound(found.begin(), found.end(), id,
+                                   [](const ResultReader::StoredResult& result,
+                                      const std::string& job) { return result.id < job; });
+  if (at == found.end() || at->id != id) return ResultNotStored{};
+  return lookup_of(*at);
+}
+
 }  // namespace
 
 bool ResultReader::request(const std::string& id, Callback done) {
@@ -60,35 +74,38 @@
 
 // A result is final, so it answers every request. The absence of a result answers only requests
 // made before the read began.
-void ResultReader::resolve(const std::string& id, bool is_found, std::uint64_t ticket,
+void ResultReader::resolve(const std::string& id, const ResultLookup& lookup, std::uint64_t ticket,
                            Calls& calls) {
   const auto waiters = waiting_.find(id);
   if (waiters == waiting_.end()) return;
   std::erase_if(waiters->second, [&](Waiter& waiter) {
-    if (!is_found && waiter.ticket > ticket) return false;
-    calls.emplace_back(std::move(waiter.done), is_found ? Found::yes : Found::no);
+    if (is_not_stored(lookup) && waiter.ticket > ticket) return false;
+    calls.emplace_back(std::move(waiter.done), lookup);
     return true;
   });
   if (waiters->second.empty()) waiting_.erase(waiters);
 }
 
-void ResultReader::answered(const Read& read, const std::vector<std::string>& found, bool more) {
+void ResultReader::call(Calls& calls) {
+  for (auto& [done, lookup] : calls) done(lookup);
+}
+
+void ResultReader::answered(const Read& read, const std::vector<StoredResult>& found, bool more) {
   finished(read);
   Calls calls;
   if (!read.range) {
-    resolve(read.id, !found.empty(), read.ticket, calls);
-  } else {
-    // The range that was read ends with the last result or, if no results follow, is unbounded.
-    const bool is_cut = more && !found.empty();
-    std::vector<std::string> ids;
-    for (auto job = waiting_.lower_bound(read.id);
-         job != waiting_.end() && (!more || (is_cut && job->first <= found.back())); ++job)
-      ids.push_back(job->first);
-    last_read_ = is_cut ? found.back() : std::string();
-    for (const std::string& id : ids)
-      resolve(id, std::binary_search(found.begin(), found.end(), id), read.ticket, calls);
+    resolve(read.id, find_in(found, read.id), read.ticket, calls);
+    return call(calls);
   }
-  for (auto& [done, result] : calls) done(result);
+  // The range that was read ends with the last result or, if no results follow, is unbounded.
+  const bool is_cut = more && !found.empty();
+  std::vector<std::string> ids;
+  for (auto job = waiting_.lower_bound(read.id);
+       job != waiting_.end() && (!more || (is_cut && job->first <= found.back().id)); ++job)
+    ids.push_back(job->first);
+  last_read_ = is_cut ? found.back().id : std::string();
+  for (const std::string& id : ids) resolve(id, find_in(found, id), read.ticket, calls);
+  call(calls);
 }
 
 void ResultReader::failed(const Read& read) {
@@ -98,12 +115,12 @@
     if (read.range || job->first == read.id)
       std::erase_if(job->second, [&](Waiter& waiter) {
         if (waiter.ticket > read.ticket) return false;
-        calls.emplace_back(std::move(waiter.done), Found::unread);
+        calls.emplace_back(std::move(waiter.done), ResultUnread{});
         return true;
       });
     job = job->second.empty() ? waiting_.erase(job) : std::next(job);
   }
-  for (auto& [done, result] : calls) done(result);
+  call(calls);
 }
 
 std::string ResultReader::key_before(std::string key) {
--- a/src/jobs/result_reader.h
+++ b/src/jobs/result_reader.h
@@ -16,15 +16,14 @@
 #include <utility>
 #include <vector>
 
-namespace shunttrail::jobs {
+#include "jobs/result_lookup.h"
 
-/// The outcome of a lookup of a job's result; unread: the read failed, so the outcome is unknown.
-enum class Found { yes, no, unread };
+namespace shunttrail::jobs {
 
 /// The queue of result reads.
 class ResultReader {
  public:
-  using Callback = std::function<void(Found)>;
+  using Callback = std::function<void(const ResultLookup&)>;
   /// Requests a job's result. Returns false, and never calls `done`, if too many jobs are queued.
   bool request(const std::string& id, Callback done);
 
@@ -36,12 +35,18 @@
   };
   /// Returns the next read to make; none if nothing is queued or enough reads are in flight.
   std::optional<Read> next();
-  /// Handles the response to a read. `found` lists the jobs that have a result, in key order; the
-  /// caller has stored these results already. `more` says, for a range, whether further results
-  /// follow the last one. The absence of a result is reported only to requests made before the read
-  /// began.
-  void answered(const Read& read, const std::vector<std::string>& found, bool more);
-  /// Handles a failed read: requests made before it began get Found::unread.
+  /// A result that a response holds.
+  struct StoredResult {
+    std::string id;
+    /// None if the caller could not decode the record, or did not since nobody waits for it.
+    std::optional<wire::JobResultRecord> record;
+  };
+  /// Handles the response to a read. `found` lists the jobs that have a result, in key order; those
+  /// who wait for one without its record get ResultUnread. `more` says, for a range, whether
+  /// further results follow the last one. The absence of a result is reported only to requests made
+  /// before the read began.
+  void answered(const Read& read, const std::vector<StoredResult>& found, bool more);
+  /// Handles a failed read: requests made before it began get ResultUnread.
   void failed(const Read& read);
   /// Returns the number of jobs whose results are requested.
   [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
@@ -57,8 +62,10 @@
     Callback done;
   };
   /// Callbacks are collected and called last, since a callback may make new requests.
-  using Calls = std::vector<std::pair<Callback, Found>>;
-  void resolve(const std::string& id, bool is_found, std::uint64_t ticket, Calls& calls);
+  using Calls = std::vector<std::pair<Callback, ResultLookup>>;
+  void resolve(const std::string& id, const ResultLookup& lookup, std::uint64_t ticket,
+               Calls& calls);
+  static void call(Calls& calls);
   void finished(const Read& read);
 
   std::uint64_t last_ticket_ = 0;
--- a/tests/fault_combinations_results_test.cpp
+++ b/tests/fault_combinations_results_test.cpp
@@ -1,5 +1,6 @@
-// Requests about jobs that have ended, at controllers that hold few of their results in memory, such
-// as one that has just been started. The product's own controllers run in simulated time.
+// Requests about jobs that have ended, at controllers that hold few of their results in memory: one
+// that has just been started, one whose memory is full, and while a job ends. The product's own
+// controllers run in simulated time.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 namespace {
 
 const config::Endpoint kStateService{"state", 1};
+constexpr std::size_t kResultsInMemory = 4000;  // of each controller, see JobResults
 constexpr std::size_t kPageEntries = 1000;      // PROTOCOL: keys in a page of the state service
 constexpr std::size_t kMaxDependencies = 128;   // README: jobs that a submission may name
 
@@ -30,7 +32,7 @@
 // of them has their results in memory.
 class FinishedJobs : public ::testing::Test {
  protected:
-  FinishedJobs() { cluster.run_for(15); }
+  FinishedJobs() { cluster_.run_for(15); }
 
   static std::string id(std::size_t number) { return "run-" + std::to_string(100000 + number); }
   static bool is_cancelled(std::size_t number) { return number % 10 == 9; }
@@ -42,7 +44,7 @@
   void flush() {
     if (transaction_.ops.empty()) return;
     const net::Result r =
-        user.request(kStateService, "POST", "/commit", wire::encode_transaction(transaction_));
+        user_.request(kStateService, "POST", "/commit", wire::encode_transaction(transaction_));
     ASSERT_EQ(r.status, 200) << r.body;
     transaction_.ops.clear();
   }
@@ -74,7 +76,7 @@
   // Sends a request about each job in the same moment, and expects that each gets its final state.
   void expect_final_states(int node, const char* method, const std::vector<std::size_t>& jobs,
                            const std::string& suffix) {
-    const auto answers = user.request_all(node, method, paths(jobs, suffix));
+    const auto answers = user_.request_all(node, method, paths(jobs, suffix));
     std::size_t wrong = 0;
     for (std::size_t i = 0; i < jobs.size(); ++i) {
       const auto expected =
@@ -99,8 +101,8 @@
     return out;
   }
 
-  SimulatedCluster cluster{7, without_machines()};
-  SingleUser user{cluster};
+  SimulatedCluster cluster_{7, without_machines()};
+  SingleUser user_{cluster_};
 
  private:
   static constexpr std::size_t kTransactionOps = 16;
@@ -135,11 +137,11 @@
 TEST_F(FinishedJobs, AreFoundOnAllPages) {
   store_results(3 * kPageEntries);
   const std::size_t step = 3 * kPageEntries / kMaxDependencies;
-  EXPECT_EQ(user.submit(0, submission(done_jobs(0, 2 * kMaxDependencies / 3, step))).status, 201);
+  EXPECT_EQ(user_.submit(0, submission(done_jobs(0, 2 * kMaxDependencies / 3, step))).status, 201);
   std::vector<std::string> reversed = done_jobs(1, 2 * kMaxDependencies / 3, step);
   std::reverse(reversed.begin(), reversed.end());
-  EXPECT_EQ(user.submit(1, submission(reversed)).status, 201);
-  EXPECT_EQ(user.submit(2, submission(done_jobs(5, kMaxDependencies))).status, 201);
+  EXPECT_EQ(user_.submit(1, submission(reversed)).status, 201);
+  EXPECT_EQ(user_.submit(2, submission(done_jobs(5, kMaxDependencies))).status, 201);
 }
 
 // One dependency that was never accepted is told from many that were.
@@ -147,7 +149,7 @@
   store_results(kMaxDependencies);
   std::vector<std::string> dependencies = done_jobs(0, 100);
   dependencies.push_back("run-555555");
-  const net::Result refusal = user.submit(0, submission(dependencies));
+  const net::Result refusal = user_.submit(0, submission(dependencies));
   EXPECT_EQ(refusal.status, 422);
   EXPECT_NE(refusal.body.find("never accepted"), std::string::npos) << refusal.body;
 }
@@ -172,10 +174,93 @@
 // Queries of jobs that were never accepted are told from those of finished jobs.
 TEST_F(FinishedJobs, AreToldFromUnknownJobsInManyQueries) {
   store_results(200);
-  const auto answers = user.request_all(0, "GET", paths(numbers(100, 200)));
+  const auto answers = user_.request_all(0, "GET", paths(numbers(100, 200)));
   for (std::size_t i = 0; i < answers.size(); ++i)
     EXPECT_EQ(answers[i].status, i < 100 ? 200 : 404) << id(100 + i);
 }
 
+// Guards against an accepted job that counts as never accepted: the oldest results in a full memory
+// were dropped while the results of the submission's other dependencies were read.
+TEST_F(FinishedJobs, AFullMemoryHidesNone) {
+  store_results(kResultsInMemory + kMaxDependencies);
+  expect_final_states(0, "GET", numbers(0, kResultsInMemory), "");
+  // The oldest ones in memory, and those that are not in memory.
+  std::vector<std::string> dependencies = done_jobs(0, kMaxDependencies / 2);
+  for (const std::string& job : done_jobs(kResultsInMemory, kMaxDependencies / 2))
+    dependencies.push_back(job);
+  EXPECT_EQ(user_.submit(0, submission(dependencies)).status, 201);
+}
+
+// More queries at once than the memory holds results.
+TEST_F(FinishedJobs, MoreQueriesThanTheMemoryHoldsAreAnswered) {
+  store_results(3 * kResultsInMemory / 2);
+  expect_final_states(0, "GET", numbers(0, 3 * kResultsInMemory / 2), "");
+}
+
+// Guards against an accepted job that counts as never accepted: a record that cannot be decoded was
+// found and not remembered. Whether the job was accepted cannot be told then, and 503 says so.
+TEST_F(FinishedJobs, AnUnreadableRecordIsNotTakenForAMissingOne) {
+  store_results(20);
+  store("run-200000", R"({"a":"form of a later build"})");
+  flush();
+  for (const std::size_t others : {0, 15}) {
+    SCOPED_TRACE(others);
+    std::vector<std::string> dependencies = done_jobs(0, others);
+    dependencies.push_back("run-200000");
+    EXPECT_EQ(user_.request(0, "POST", "/v2/runs", submission(dependencies)).status, 503);
+  }
+  EXPECT_EQ(user_.request(0, "GET", "/v2/runs/run-200000").status, 503);
+}
+
+// Guards against an accepted job that counts as never accepted: it ended while the results of the
+// submission's other dependencies were read, so that it was neither live any more nor among those
+// that had been looked up.
+TEST(JobResults, ADependencyThatEndsWhileOthersAreReadIsNotRefused) {
+  ClusterOptions options;
+  options.state_latency_s = 0.2;
+  SimulatedCluster cluster(5, options);
+  auto& sim = cluster.sim();
+  cluster.run_for(15);
+  // A dependency that does not end: no dependent starts.
+  const std::string endless = cluster.users().submit(spec("red", 1), 1e6);
+  std::vector<std::string> earlier;
+  for (int i = 0; i < 40; ++i) earlier.push_back(cluster.users().submit(spec("blue", 1), 1));
+  cluster.run_for(90);
+  for (const std::string& job : earlier)
+    ASSERT_GE(cluster.users().jobs().at(job).done_reported_at, 0) << job;
+  const int node = 2;  // leads the shard of neither team
+  cluster.controllers().stop(node);
+  cluster.run_for(1);
+  cluster.controllers().start(node);
+  cluster.run_for(10);
+
+  std::set<std::string> ended_jobs;
+  std::vector<std::string> dependents;
+  sim.delivery_of = [&, delivery_of = sim.delivery_of](const simulation::Request& request) {
+    if (request.path == "/commit")
+      for (const auto& op : client_protocol::decode_transaction(request.body).ops) {
+        if (!op.key.starts_with(state::kJobResults) || earlier.empty()) continue;
+        const std::string ending = op.key.substr(std::string(state::kJobResults).size());
+        if (!ended_jobs.insert(ending).second) continue;
+        wire::JobSpec dependent = spec("red", 1);
+        dependent.dependencies = {ending, earlier.back(), endless};
+        earlier.pop_back();
+        sim.at(sim.now() + sim.draw(0, 0.15), [&, dependent] {
+          dependents.push_back(cluster.users().submit(dependent, 1, node));
+        });
+      }
+    return delivery_of(request);
+  };
+  for (int i = 0; i < 40; ++i) {
+    cluster.users().submit(spec("red", 1), 1);
+    cluster.run_for(2);
+  }
+  cluster.run_for(60);
+  EXPECT_EQ(dependents.size(), 40u);
+  for (const std::string& id : dependents)
+    EXPECT_TRUE(cluster.users().jobs().at(id).accepted) << id;
+  EXPECT_EQ(cluster.rules().broken(), std::vector<std::string>{});
+}
+
 }  // namespace
 }  // namespace shunttrail::test
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -317,6 +317,13 @@
 
 // ---- reading the results of ended jobs
 
+// The result of a job; its team tells which job's it is.
+jobs::ResultReader::StoredResult stored_result(const std::string& id) {
+  wire::JobResultRecord record;
+  record.team = "team of " + id;
+  return {id, record};
+}
+
 // With requests in the worst order, the youngest job first, each range read answered only one more
 // request: 1,000 requests took 1,000 reads.
 TEST(ResultReader, TheOrderOfRequestsDoesNotMatter) {
@@ -328,34 +335,66 @@
     for (int i = 0; i < 1000; ++i) ids.push_back("run-" + std::to_string(100000 + i));
     int answers = 0, read_count = 0;
     for (int i = 0, n = 0; i < 1000; ++i, n = (n + 1000 + step) % 1000)
-      ASSERT_TRUE(reader.request(ids[static_cast<std::size_t>(n)],
-                                 [&](jobs::Found found) { answers += found == jobs::Found::yes; }));
+      ASSERT_TRUE(
+          reader.request(ids[static_cast<std::size_t>(n)], [&](const jobs::ResultLookup& lookup) {
+            answers += jobs::found_record(lookup) != nullptr;
+          }));
     while (auto read = reader.next()) {
       ++read_count;
       if (!read->range) {
-        reader.answered(*read, {read->id}, false);
+        reader.answered(*read, {stored_result(read->id)}, false);
         continue;
       }
       auto from = std::upper_bound(ids.begin(), ids.end(), ResultReader::key_before(read->id));
       const auto count = std::min<std::ptrdiff_t>(100, ids.end() - from);
-      reader.answered(*read, {from, from + count}, from + count != ids.end());
+      std::vector<ResultReader::StoredResult> found;
+      for (auto id = from; id != from + count; ++id) found.push_back(stored_result(*id));
+      reader.answered(*read, found, from + count != ids.end());
     }
     EXPECT_EQ(answers, 1000);
     EXPECT_LE(read_count, 11);
   }
 }
 
+// Guards against a stored result that is taken for one that does not exist: its record could not be
+// decoded, so that nothing was remembered of it, and a job that awaited it was refused for good.
+TEST(ResultReader, AResultWithoutARecordIsNeverReportedAsAbsent) {
+  using jobs::ResultReader;
+  for (const int requests : {1, 20}) {
+    SCOPED_TRACE(requests);
+    ResultReader reader;
+    int unread = 0;
+    int found = 0;
+    auto count = [&](const jobs::ResultLookup& lookup) {
+      unread += jobs::is_unread(lookup);
+      found += jobs::found_record(lookup) != nullptr;
+    };
+    std::vector<ResultReader::StoredResult> stored;
+    for (int i = 0; i < requests; ++i) {
+      stored.push_back(stored_result("run-" + std::to_string(100 + i)));
+      ASSERT_TRUE(reader.request(stored.back().id, count));
+    }
+    stored.front().record.reset();
+    const auto read = reader.next();
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->range, requests > 1);
+    reader.answered(*read, stored, false);
+    EXPECT_EQ(unread, 1);
+    EXPECT_EQ(found, requests - 1);
+    EXPECT_EQ(reader.waiting(), 0u);
+  }
+}
+
 // Each request had a read of its own, which was made within three seconds or not at all. With
 // thousands of ended jobs and many requests, every answer came too late for its user.
 RC_GTEST_PROP(ResultReader, EveryRequestIsAnsweredCorrectlyWithFewReads, ()) {
-  using jobs::Found;
   using jobs::ResultReader;
   ResultReader reader;
   std::set<std::string> stored_ids;
   struct Request {
     std::string id;
     bool was_stored;  // at the time of the request
-    std::optional<Found> answer;
+    std::optional<jobs::ResultLookup> answer;
   };
   std::vector<std::unique_ptr<Request>> requests;
   auto id = [](int number) { return "run-" + std::to_string(100000 + number); };
@@ -363,18 +402,19 @@
     const auto job = id(*rc::gen::inRange(0, 3000));
     requests.push_back(std::make_unique<Request>(Request{job, stored_ids.contains(job), {}}));
     Request* request = requests.back().get();
-    RC_ASSERT(reader.request(job, [request](Found found) { request->answer = found; }));
+    RC_ASSERT(reader.request(
+        job, [request](const jobs::ResultLookup& lookup) { request->answer = lookup; }));
   };
   // Performs a read with the records that the state service holds; a range holds up to 100 of them.
   auto perform = [&](const ResultReader::Read& read, const std::set<std::string>& stored) {
-    std::vector<std::string> found;
+    std::vector<ResultReader::StoredResult> found;
     if (!read.range) {
-      if (stored.contains(read.id)) found.push_back(read.id);
+      if (stored.contains(read.id)) found.push_back(stored_result(read.id));
       return reader.answered(read, found, false);
     }
     const std::string after = ResultReader::key_before(read.id);
     auto it = stored.upper_bound(after);
-    for (; it != stored.end() && found.size() < 100; ++it) found.push_back(*it);
+    for (; it != stored.end() && found.size() < 100; ++it) found.push_back(stored_result(*it));
     reader.answered(read, found, it != stored.end());
   };
   for (int i = *rc::gen::inRange(0, 2000); i > 0; --i)
@@ -409,8 +449,11 @@
   RC_ASSERT(rounds <= 7 + static_cast<int>(stored_ids.size() / 100 + 3) + 7);
   for (const auto& request : requests) {
     RC_ASSERT(request->answer.has_value());
-    if (*request->answer == Found::yes) RC_ASSERT(stored_ids.contains(request->id));
-    if (*request->answer == Found::no) RC_ASSERT(!request->was_stored);
+    if (const auto* record = jobs::found_record(*request->answer)) {
+      RC_ASSERT(stored_ids.contains(request->id));
+      RC_ASSERT(record->team == "team of " + request->id);
+    }
+    if (jobs::is_not_stored(*request->answer)) RC_ASSERT(!request->was_stored);
   }
 }
 
