wire: an empty page before another one is malformed, and not taken for the last

What callers would see: everything on the pages that follow counts as deleted, jobs and placements in a full read of the state service, machines in the cloud's list. Found by reading while looking for records that are taken for missing ones; neither service is known to send such a page.

Cause: StateStore::on_page and CloudManager::read_list_page continue after the last entry, and took a page without one for the last, whatever has_next says.

Change: check_page, in both decoders; the read fails and is made again.

Measured: Pages.AnEmptyPageBeforeAnotherIsMalformed failed before (neither decoder threw) and passes; shunttrail_tests (184, release) pass.

--- a/src/controller/cloud_manager.cpp
+++ b/src/controller/cloud_manager.cpp
@@ -220,8 +220,7 @@
                    return;
                  }
                  for (const auto& machine : page.machines) on_listed(machine);
-                 if (page.more && !page.machines.empty())
-                   return read_list_page(page.machines.back().name);
+                 if (page.more) return read_list_page(page.machines.back().name);
                  finish_list();
                }));
 }
--- a/src/controller/state_store.cpp
+++ b/src/controller/state_store.cpp
@@ -92,9 +92,8 @@
   // The watch starts at the first page's revision: changes made while the other pages are read are
   // then read again by the watch.
   if (!read.revision) read.revision = page.revision;
-  const bool has_next = page.more && !page.items.empty();
   for (auto& item : page.items) read.items.push_back(std::move(item));
-  if (!has_next) return finish_full_read(read);
+  if (!page.more) return finish_full_read(read);
   read.last_key = read.items.back().key;
   read_page(std::move(read));
 }
--- a/src/wire/cloud_codec.cpp
+++ b/src/wire/cloud_codec.cpp
@@ -94,6 +94,7 @@
     for (const json& machine : list(j, "engines"))
       out.machines.push_back(listed_machine_from_json(machine));
     out.more = flag(j, "has_next");
+    check_page(out.more, out.machines.empty());
     return out;
   });
 }
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -149,6 +149,13 @@
   return out;
 }
 
+/// Throws Malformed if a page says that another one follows but is empty. Its reader could not ask
+/// for the next page, and would take everything on it for deleted.
+inline void check_page(bool has_next, bool is_empty) {
+  if (has_next && is_empty)
+    throw Malformed::bad_value("has_next", "is true on an empty page", "false");
+}
+
 /// Returns a task's name on the wire: the job's id, a slash, and the task's index in the job.
 inline std::string task_name(const TaskId& t) { return t.job + "/" + std::to_string(t.index); }
 /// Reads a task's name as task_name writes it.
--- a/src/wire/state_codec.cpp
+++ b/src/wire/state_codec.cpp
@@ -131,6 +131,7 @@
     for (const json& entry : list(j, "entries"))
       out.items.push_back(
           {text(entry, "k"), share(required(entry, "value")), whole(entry, "stamp")});
+    check_page(out.more, out.items.empty());
     return out;
   });
 }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -130,7 +130,7 @@
 /// A page of the cloud's list of rented machines.
 struct MachineList {
   std::vector<ListedMachine> machines;
-  bool more = false;  ///< another page follows
+  bool more = false;  ///< another page follows; false if the page is empty
 };
 
 /// A key's value at a revision, or its deletion.
@@ -150,7 +150,7 @@
 struct KeyPage {
   std::uint64_t revision = 0;  ///< revision at which the page was read
   std::vector<Event> items;    ///< in ascending order of their keys
-  bool more = false;           ///< another page follows
+  bool more = false;           ///< another page follows; false if the page is empty
 };
 
 /// Changes that the state service applies atomically.
--- a/tests/wire_golden_test.cpp
+++ b/tests/wire_golden_test.cpp
@@ -230,6 +230,18 @@
                  wire::Malformed);
 }
 
+// Guards against records and machines that count as deleted: an empty page that says that another
+// follows was taken for the last page.
+TEST(Pages, AnEmptyPageBeforeAnotherIsMalformed) {
+  EXPECT_THROW(
+      static_cast<void>(wire::decode_keys(R"({"entries":[],"has_next":true,"ledger":431})")),
+      wire::Malformed);
+  EXPECT_THROW(static_cast<void>(wire::decode_machines(R"({"engines":[],"has_next":true})")),
+               wire::Malformed);
+  EXPECT_FALSE(wire::decode_keys(R"({"entries":[],"has_next":false,"ledger":431})").more);
+  EXPECT_FALSE(wire::decode_machines(R"({"engines":[],"has_next":false})").more);
+}
+
 // ---- Bodies of a controller's responses
 
 // A controller on loopback sockets, with a state service that always holds the keys below and
