tests: histories of jobs that depend on many others while controllers restart

Cause: no history had a submission with eight or more dependencies, or asked about many jobs in the same moment, so none read results as ranges and then relied on them. One function for "a user was told the end" instead of nine expressions.

--- a/src/simulation/job_records.h
+++ b/src/simulation/job_records.h
@@ -28,6 +28,10 @@
   double last_answered_at = -1;       ///< when an answer last had any state
   double first_reported_at = -1;      ///< when an answer first had any state
   std::uint32_t completed_tasks = 0;  ///< tasks that have completed on a machine
+  /// Returns whether an answer had a final state.
+  [[nodiscard]] bool is_end_reported() const {
+    return done_reported_at >= 0 || cancelled_reported_at >= 0;
+  }
 };
 
 /// The jobs of all users by id, and the tasks that have completed.
--- a/src/simulation/simulated_users.cpp
+++ b/src/simulation/simulated_users.cpp
@@ -98,7 +98,7 @@
 
 void SimulatedUsers::poll(const std::string& id) {
   const SimulatedJob& job = jobs_.at(id);
-  const bool finished = job.done_reported_at >= 0 || job.cancelled_reported_at >= 0;
+  const bool finished = job.is_end_reported();
   const double sent = simulation_.now();
   query_once(id, random_node());
   simulation_.at(sent + (finished ? kFinishedPollIntervalS : kPollIntervalS),
@@ -121,7 +121,7 @@
     const bool other = job.first_reported_at >= 0 && simulation_.chance(0.5);
     const std::string body = other ? altered_body(id) : std::string();
     submit_once(id, random_node(), body);
-    if (job.done_reported_at >= 0 || job.cancelled_reported_at >= 0) cancel_once(id, random_node());
+    if (job.is_end_reported()) cancel_once(id, random_node());
   } else {
     query_once(id, node);
   }
@@ -176,7 +176,7 @@
 
 void SimulatedUsers::cancel_once(const std::string& id, int node) {
   SimulatedJob& job = jobs_.at(id);
-  job.cancel_requested |= job.done_reported_at < 0 && job.cancelled_reported_at < 0;
+  job.cancel_requested |= !job.is_end_reported();
   send(node, "POST", job_path(id) + "/withdraw", "{}", kWriteTimeoutS,
        [this, id, sent = simulation_.now()](net::Result result) {
          handle_answer(id, result, sent, UserRequest::cancellation);
--- a/tests/fault_combinations.h
+++ b/tests/fault_combinations.h
@@ -169,8 +169,7 @@
   }
 
   static bool has_ended(const SimulatedJob& job) {
-    return job.spec.service || !job.accepted || job.done_reported_at >= 0 ||
-           job.cancelled_reported_at >= 0;
+    return job.spec.service || !job.accepted || job.is_end_reported();
   }
 
   bool has_services() const {
--- a/tests/fault_combinations_answers_test.cpp
+++ b/tests/fault_combinations_answers_test.cpp
@@ -72,7 +72,7 @@
   cluster.query_all_controllers();
   for (const auto& [id, j] : cluster.users().jobs()) {
     results.accepted += j.accepted;
-    const bool ended = j.done_reported_at >= 0 || j.cancelled_reported_at >= 0;
+    const bool ended = j.is_end_reported();
     results.ended += ended;
     if (j.spec.service)
       cluster.users().cancel(id);
@@ -545,7 +545,7 @@
   }
   cluster.run_for(120);
   for (const auto& [id, job] : cluster.users().jobs()) {
-    EXPECT_TRUE(job.done_reported_at >= 0 || job.cancelled_reported_at >= 0) << id;
+    EXPECT_TRUE(job.is_end_reported()) << id;
     const json answer = json::parse(user.submit(node(), cluster.users().altered_body(id)).body);
     EXPECT_EQ(answer.at("uid"), id);
     EXPECT_EQ(answer.at("signal"), job.done_reported_at >= 0 ? "done" : "cancelled");
@@ -661,7 +661,7 @@
   cluster.run_for(60);
   std::size_t ended = 0, reported_cancelled = 0;
   for (const auto& [id, job] : cluster.users().jobs()) {
-    ended += job.done_reported_at >= 0 || job.cancelled_reported_at >= 0;
+    ended += job.is_end_reported();
     reported_cancelled += job.cancelled_reported_at >= 0;
   }
   EXPECT_EQ(submitted, 960u);
--- a/tests/fault_combinations_delegation_test.cpp
+++ b/tests/fault_combinations_delegation_test.cpp
@@ -88,8 +88,7 @@
   Strings unfinished() const {
     Strings out;
     for (const auto& [id, job] : cluster.users().jobs())
-      if (job.accepted && job.done_reported_at < 0 && job.cancelled_reported_at < 0)
-        out.push_back(describe(cluster, job));
+      if (job.accepted && !job.is_end_reported()) out.push_back(describe(cluster, job));
     return out;
   }
 };
--- a/tests/fault_combinations_limits_test.cpp
+++ b/tests/fault_combinations_limits_test.cpp
@@ -31,7 +31,7 @@
   for (const auto& [id, job] : cluster.users().jobs())
     if (job.spec.service)
       cluster.users().cancel(id);
-    else if (job.accepted && job.done_reported_at < 0 && job.cancelled_reported_at < 0)
+    else if (job.accepted && !job.is_end_reported())
       unfinished.push_back(id);
   EXPECT_EQ(unfinished, Strings{});
   cluster.run_for(120);
--- a/tests/fault_combinations_results_test.cpp
+++ b/tests/fault_combinations_results_test.cpp
@@ -262,5 +262,100 @@
   EXPECT_EQ(cluster.rules().broken(), std::vector<std::string>{});
 }
 
+// ---- random histories
+
+// Users submit jobs that depend on up to sixteen earlier ones in any state, and ask about or cancel
+// many jobs in the same moment, while controllers end and are started again.
+class DependentJobsHistory {
+ public:
+  explicit DependentJobsHistory(unsigned seed) : cluster_(seed, {}) {}
+
+  void play() {
+    cluster_.run_for(12);
+    for (const double until = cluster_.now() + 120; cluster_.now() < until;) {
+      submit();
+      if (sim_.chance(0.15)) cluster_.users().cancel(random_job());
+      if (sim_.chance(0.15)) request_many();
+      if (sim_.chance(0.12)) restart_controller();
+      cluster_.run_for(sim_.draw(0.2, 3));
+    }
+    cluster_.run_for(240);
+    cluster_.query_all_controllers();
+  }
+  void expect_all_ended() const {
+    EXPECT_EQ(cluster_.rules().broken(), std::vector<std::string>{});
+    for (const auto& [id, job] : cluster_.users().jobs()) {
+      EXPECT_TRUE(job.accepted) << id;
+      EXPECT_TRUE(job.is_end_reported()) << id;
+    }
+  }
+  [[nodiscard]] std::size_t wide_submissions() const { return wide_submissions_; }
+  [[nodiscard]] std::size_t many_requests() const { return many_requests_; }
+
+ private:
+  static constexpr std::size_t kWideDependencies = 8;  // as many results are read as a range
+
+  int random_node() {
+    return static_cast<int>(sim_.rng()() % static_cast<unsigned>(cluster_.options().controllers));
+  }
+  const std::string& random_job() { return jobs_[sim_.rng()() % jobs_.size()]; }
+
+  void submit() {
+    wire::JobSpec job = spec(sim_.chance(0.5) ? "red" : "blue", 1);
+    std::set<std::string> dependencies;
+    const std::size_t draws = sim_.chance(0.4) && !jobs_.empty() ? 1 + sim_.rng()() % 16 : 0;
+    for (std::size_t i = 0; i < draws; ++i)
+      if (const std::string& other = random_job(); cluster_.users().jobs().at(other).accepted)
+        dependencies.insert(other);
+    wide_submissions_ += dependencies.size() >= kWideDependencies;
+    job.dependencies.assign(dependencies.begin(), dependencies.end());
+    jobs_.push_back(cluster_.users().submit(std::move(job), sim_.draw(0.5, 6)));
+  }
+  void request_many() {
+    ++many_requests_;
+    const int node = random_node();
+    const bool cancels = sim_.chance(0.3);
+    for (const std::string& id : jobs_) {
+      const SimulatedJob& job = cluster_.users().jobs().at(id);
+      const bool has_ended = job.is_end_reported();
+      if (cancels && has_ended)
+        cluster_.users().cancel_once(id, node);
+      else
+        cluster_.users().query_once(id, node);
+    }
+  }
+  void restart_controller() {
+    const int node = random_node();
+    cluster_.controllers().stop(node);
+    sim_.at(cluster_.now() + sim_.draw(0.1, 6),
+            [this, node] { cluster_.controllers().start(node); });
+  }
+
+  SimulatedCluster cluster_;
+  simulation::Simulation& sim_ = cluster_.sim();
+  std::vector<std::string> jobs_;
+  std::size_t wide_submissions_ = 0;
+  std::size_t many_requests_ = 0;
+};
+
+// Guards against an accepted job that counts as never accepted: histories had no submission that
+// depends on many jobs, and did not ask about many jobs in the same moment.
+TEST(DependentJobs, AreAcceptedAndEndWhileControllersRestart) {
+  std::size_t histories = 0;
+  std::size_t wide_submissions = 0;
+  std::size_t many_requests = 0;
+  each_seed(12, [&](unsigned seed) {
+    DependentJobsHistory history(seed);
+    history.play();
+    history.expect_all_ended();
+    ++histories;
+    wide_submissions += history.wide_submissions();
+    many_requests += history.many_requests();
+  });
+  // The histories contain what they are meant to contain.
+  EXPECT_GT(wide_submissions, 4 * histories);
+  EXPECT_GT(many_requests, 4 * histories);
+}
+
 }  // namespace
 }  // namespace shunttrail::test
