jobs: the bounded cache of results is a class of its own

Cause: JobResults kept a table and a queue of ages for it beside the reads and the transitions of waiting jobs. Behaviour as before.

--- a/src/controller/job_results.cpp
+++ b/src/controller/job_results.cpp
@@ -12,8 +12,8 @@
 namespace shunttrail::controller {
 namespace {
 constexpr char kTagLetter = 'j';
-/// Number of final records kept in memory; the oldest are dropped first. A record that is not
-/// cached is read from the state service, so a larger number of jobs costs reads but loses nothing.
+/// Number of final records kept in memory. A record that is not cached is read from the state
+/// service, so a larger number of jobs costs reads but loses nothing.
 constexpr std::size_t kMaxCachedResults = 4000;
 /// Largest number of final records that are read ahead concurrently.
 constexpr std::size_t kMaxReadAhead = 6;
@@ -34,6 +34,7 @@
     : Actor(loop),
       components_(components),
       dependencies_(components.state_store->cache()),
+      results_(kMaxCachedResults),
       tags_(components, kTagLetter),
       advance_timer_(loop, [this] { post([this] { advance(); }); }) {
   components_.state_store->listen(
@@ -53,8 +54,7 @@
 // ---- final records
 
 const wire::JobResultRecord* JobResults::cached_result(const std::string& id) const {
-  auto result = results_.find(id);
-  return result == results_.end() ? nullptr : &result->second;
+  return results_.find(id);
 }
 
 void JobResults::result_written(std::string id, wire::JobResultRecord result) {
@@ -66,12 +66,7 @@
 
 void JobResults::cache_result(const std::string& id, const wire::JobResultRecord& result) {
   dependencies_.job_ended(id, result.cancelled);
-  if (!results_.emplace(id, result).second) return;
-  result_ids_by_age_.push_back(id);
-  if (result_ids_by_age_.size() > kMaxCachedResults) {
-    results_.erase(result_ids_by_age_.front());
-    result_ids_by_age_.pop_front();
-  }
+  results_.add(id, result);
 }
 
 void JobResults::lookup(std::string id, std::function<void(jobs::ResultLookup)> then) {
@@ -248,7 +243,7 @@
 void JobResults::read_dependencies() {
   for (const auto& id : dependencies_.unread()) {
     if (read_ahead_ids_.size() >= kMaxReadAhead) break;
-    if (results_.contains(id) || !read_ahead_ids_.insert(id).second) continue;
+    if (results_.find(id) || !read_ahead_ids_.insert(id).second) continue;
     read(id, [this, id](const jobs::ResultLookup& lookup) {
       read_ahead_ids_.erase(id);
       if (!jobs::found_record(lookup)) next_read_at_ = loop_.now() + kReadRetryDelayS;
--- a/src/controller/job_results.h
+++ b/src/controller/job_results.h
@@ -2,7 +2,6 @@
 /// that wait for their dependencies.
 #pragma once
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <set>
 #include <string>
@@ -13,6 +12,7 @@
 #include "controller/state_store.h"
 #include "controller/tag_sequence.h"
 #include "jobs/dependency_graph.h"
+#include "jobs/result_cache.h"
 #include "jobs/result_lookup.h"
 #include "jobs/result_reader.h"
 #include "jobs/state_transitions.h"
@@ -99,8 +99,7 @@
 
   ControllerComponents& components_;
   jobs::DependencyGraph dependencies_;
-  std::unordered_map<std::string, wire::JobResultRecord> results_;
-  std::deque<std::string> result_ids_by_age_;
+  jobs::ResultCache results_;
   jobs::ResultReader reader_;
   std::set<std::string> read_ahead_ids_;  ///< Jobs whose final records are being read ahead.
   /// Waiting jobs for which a transition is due, and since when (loop time).
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "jobs/result_cache.h"
 #include "jobs/result_reader.h"
 #include "scheduler_fixture.h"
 
@@ -317,6 +318,22 @@
 
 // ---- reading the results of ended jobs
 
+// The cache holds the latest results and drops the oldest; adding one again changes nothing.
+TEST(ResultCache, DropsTheOldestResult) {
+  jobs::ResultCache cache(2);
+  wire::JobResultRecord result;
+  for (const std::uint32_t tasks : {1, 2, 1, 3}) {
+    result.tasks = tasks;
+    cache.add("run-" + std::to_string(tasks), result);
+  }
+  EXPECT_EQ(cache.find("run-1"), nullptr);
+  for (const std::uint32_t tasks : {2, 3}) {
+    const auto* found = cache.find("run-" + std::to_string(tasks));
+    ASSERT_NE(found, nullptr);
+    EXPECT_EQ(found->tasks, tasks);
+  }
+}
+
 // The result of a job; its team tells which job's it is.
 jobs::ResultReader::StoredResult stored_result(const std::string& id) {
   wire::JobResultRecord record;
