A live job whose record cannot be decoded is not taken for one that was never accepted

What callers would see: 404 for an accepted live job, to queries and withdrawals, and 422 for a submission that awaits it.

Cause: StateCache leaves a job out of both of its lists of live jobs if its record cannot be decoded, and callers took a job in neither list, without a result, for one that does not exist. The key's revision, which the cache has, was not asked for.

Change: StateCache::live_job returns ready, waiting, unreadable or none; queries, withdrawals and submissions switch over all of them, so the compiler names a caller that overlooks one. Unreadable is answered 503. The classification of a submission's dependencies is split by finished and unfinished ones.

--- a/src/controller/job_cancellation.cpp
+++ b/src/controller/job_cancellation.cpp
@@ -33,14 +33,20 @@
 
 void JobCancellation::cancel_live(const net::ExchangePtr& exchange, const std::string& id,
                                   int attempts_left) {
-  const state::StateCache& cache = components_.state_store->cache();
-  if (cache.job(id)) return commit(exchange, id, attempts_left);
-  if (cache.waiting(id)) return cancel_waiting(exchange, id, attempts_left);
-  // The job was not live at the linearizable read: it has ended, or was never accepted. A job that
-  // is accepted after that read is reported as unknown. It must not be reported as queued, which is
-  // no valid response to a cancellation.
-  queries_.respond_with_result(exchange, id, JobStateDetail::state,
-                               [exchange] { exchange->send(no_such_job_response()); });
+  switch (components_.state_store->cache().live_job(id).kind) {
+    case state::LiveJob::Kind::ready:
+      return commit(exchange, id, attempts_left);
+    case state::LiveJob::Kind::waiting:
+      return cancel_waiting(exchange, id, attempts_left);
+    case state::LiveJob::Kind::unreadable:
+      return exchange->send(unavailable_response());
+    case state::LiveJob::Kind::none:
+      // The job was not live at the linearizable read: it has ended, or was never accepted. A job
+      // that is accepted after that read is reported as unknown. It must not be reported as queued,
+      // which is no valid response to a cancellation.
+      return queries_.respond_with_result(exchange, id, JobStateDetail::state,
+                                          [exchange] { exchange->send(no_such_job_response()); });
+  }
 }
 
 void JobCancellation::cancel_waiting(const net::ExchangePtr& exchange, const std::string& id,
@@ -60,14 +66,13 @@
 // one that is applied first decides how the job ended.
 void JobCancellation::commit(const net::ExchangePtr& exchange, const std::string& id,
                              int attempts_left) {
-  const state::StateCache& cache = components_.state_store->cache();
-  const state::JobEntry* waiting_job = cache.waiting(id);
-  const state::JobEntry* job = waiting_job ? waiting_job : cache.job(id);
-  if (!job) return run(exchange, id, attempts_left - 1);
-  const std::string key = waiting_job ? state::waiting_key(id) : state::job_key(id);
-  wire::JobResultRecord result = wire::cancelled_record(job->record.spec, tags_.next());
+  const state::LiveJob job = components_.state_store->cache().live_job(id);
+  if (!job.entry) return run(exchange, id, attempts_left - 1);
+  const bool is_waiting = job.kind == state::LiveJob::Kind::waiting;
+  const std::string key = is_waiting ? state::waiting_key(id) : state::job_key(id);
+  wire::JobResultRecord result = wire::cancelled_record(job.entry->record.spec, tags_.next());
   wire::Transaction transaction;
-  transaction.preconditions = {{key, job->mod_revision}, {state::job_result_key(id), 0}};
+  transaction.preconditions = {{key, job.entry->mod_revision}, {state::job_result_key(id), 0}};
   transaction.ops.push_back({key, std::nullopt, 0});
   transaction.ops.push_back({state::job_result_key(id), wire::encode_record(result), 0});
   components_.state_store->commit(
--- a/src/controller/job_queries.cpp
+++ b/src/controller/job_queries.cpp
@@ -36,14 +36,24 @@
 // Responds from the cache, which holds at least everything that was committed before the query
 // began.
 void JobQueries::respond_from_cache(const Query& query) {
-  const state::StateCache& cache = components_.state_store->cache();
-  if (const state::JobEntry* job = cache.job(query.id)) {
-    const auto [done, running] = cache.progress(*job, jobs::kTasksPerChunk);
-    const auto state = running ? wire::JobState::running : wire::JobState::queued;
-    return query.exchange->send(job_state_response(query.id, state, done, running, query.detail));
+  const state::LiveJob job = components_.state_store->cache().live_job(query.id);
+  switch (job.kind) {
+    case state::LiveJob::Kind::ready:
+      return respond_with_progress(query, *job.entry);
+    case state::LiveJob::Kind::waiting:
+      return respond_waiting(query);
+    case state::LiveJob::Kind::unreadable:
+      return query.exchange->send(unavailable_response());
+    case state::LiveJob::Kind::none:
+      return respond_with_result(query.exchange, query.id, query.detail, query.on_unknown);
   }
-  if (cache.waiting(query.id)) return respond_waiting(query);
-  respond_with_result(query.exchange, query.id, query.detail, query.on_unknown);
+}
+
+void JobQueries::respond_with_progress(const Query& query, const state::JobEntry& job) {
+  const state::StateCache& cache = components_.state_store->cache();
+  const auto [done, running] = cache.progress(job, jobs::kTasksPerChunk);
+  const auto state = running ? wire::JobState::running : wire::JobState::queued;
+  query.exchange->send(job_state_response(query.id, state, done, running, query.detail));
 }
 
 void JobQueries::respond_with_result(const net::ExchangePtr& exchange, const std::string& id,
--- a/src/controller/job_queries.h
+++ b/src/controller/job_queries.h
@@ -42,6 +42,7 @@
   };
   void run(const Query& query);
   void respond_from_cache(const Query& query);
+  void respond_with_progress(const Query& query, const state::JobEntry& job);
   void respond_waiting(const Query& query);
   void on_waiting_state(const Query& query, JobResults::DependencyStates states);
   void read_missing(const Query& query, std::vector<std::string> missing);
--- a/src/controller/job_submission.cpp
+++ b/src/controller/job_submission.cpp
@@ -19,6 +19,7 @@
 constexpr double kMaxReadAgeS = 6;
 /// Retry-After value sent to users if the state service cannot be read.
 constexpr double kUnreadRetryAfterS = 2;
+constexpr char kDependsOnService[] = "awaits names a service";
 
 // Returns the response to a job that the latest read did not find. An infeasible job is refused.
 // Otherwise the response asks the user to submit it again: either the machine types have not been
@@ -61,8 +62,8 @@
 }
 
 bool JobSubmission::is_accepted(const std::string& id) const {
-  const state::StateCache& cache = components_.state_store->cache();
-  return components_.job_results->cached_result(id) || cache.job(id) || cache.waiting(id);
+  return components_.job_results->cached_result(id) ||
+         components_.state_store->cache().live_job(id).kind != state::LiveJob::Kind::none;
 }
 
 // Responds with the job's state if it was accepted before, and with `otherwise` if not.
@@ -89,38 +90,50 @@
   return components_.job_results->cached_result(id);
 }
 
-// A dependency that is in no memory of this node is unknown. Only a lookup that has shown that no
-// final record is stored proves that it was never accepted.
 JobSubmission::Dependencies JobSubmission::classify_dependencies(
     const PendingSubmission& pending) const {
-  const state::StateCache& cache = components_.state_store->cache();
-  const wire::JobSpec& job = pending.job.spec;
   Dependencies dependencies;
-  for (const auto& id : job.dependencies) {
-    if (id == job.id) {
+  for (const auto& id : pending.job.spec.dependencies) {
+    if (id == pending.job.spec.id)
       dependencies.error = "awaits names the job itself";
-      return dependencies;
-    }
-    const state::JobEntry* live = cache.job(id);
-    if (!live) live = cache.waiting(id);
-    const wire::JobResultRecord* result = known_result(pending, id);
-    if ((live && live->record.spec.service) || (result && result->service)) {
-      dependencies.error = "awaits names a service";
-      return dependencies;
-    }
-    if (result)
-      // A finished dependency is not waited for.
-      dependencies.is_any_cancelled |= result->cancelled;
-    else if (live)
-      dependencies.unfinished.push_back(id);
-    else if (pending.lookups.contains(id))
-      dependencies.error = "awaits names a job that was never accepted";
+    else if (const wire::JobResultRecord* result = known_result(pending, id))
+      add_finished(*result, dependencies);
     else
-      dependencies.unknown.push_back(id);
+      add_unfinished(pending, id, dependencies);
+    if (!dependencies.error.empty()) break;
   }
   return dependencies;
 }
 
+// A finished dependency is not waited for.
+void JobSubmission::add_finished(const wire::JobResultRecord& result, Dependencies& dependencies) {
+  if (result.service) dependencies.error = kDependsOnService;
+  dependencies.is_any_cancelled |= result.cancelled;
+}
+
+// A dependency that is in no memory of this node is unknown. Only a lookup that has shown that no
+// final record is stored proves that it was never accepted.
+void JobSubmission::add_unfinished(const PendingSubmission& pending, const std::string& id,
+                                   Dependencies& dependencies) const {
+  const state::LiveJob live = components_.state_store->cache().live_job(id);
+  switch (live.kind) {
+    case state::LiveJob::Kind::ready:
+    case state::LiveJob::Kind::waiting:
+      if (live.entry->record.spec.service) dependencies.error = kDependsOnService;
+      dependencies.unfinished.push_back(id);
+      return;
+    case state::LiveJob::Kind::unreadable:
+      dependencies.is_any_unreadable = true;
+      return;
+    case state::LiveJob::Kind::none:
+      if (pending.lookups.contains(id))
+        dependencies.error = "awaits names a job that was never accepted";
+      else
+        dependencies.unknown.push_back(id);
+      return;
+  }
+}
+
 // Checks that every dependency has been accepted at some time. An acceptance is never revoked, so
 // jobs in the cache need no new read. Unknown ones are searched for in two steps: first by a
 // linearizable read, which shows jobs that another node has accepted an instant ago, and then among
@@ -129,6 +142,7 @@
 void JobSubmission::check_dependencies(PendingSubmission pending) {
   Dependencies dependencies = classify_dependencies(pending);
   if (!dependencies.error.empty()) return refuse_dependencies(pending, dependencies.error);
+  if (dependencies.is_any_unreadable) return refuse(pending.exchange, unavailable_response());
   if (!dependencies.unknown.empty()) {
     if (!pending.is_cache_current) return read_current_cache(std::move(pending));
     return look_up_results(std::move(pending), std::move(dependencies.unknown));
--- a/src/controller/job_submission.h
+++ b/src/controller/job_submission.h
@@ -53,6 +53,7 @@
     /// Neither live nor known to have ended; whether they were accepted has to be read.
     std::vector<std::string> unknown;
     bool is_any_cancelled = false;
+    bool is_any_unreadable = false;  ///< One was accepted, and its record cannot be decoded.
     std::string error;  ///< The reason for which the job is refused; empty if there is none.
   };
   /// The key and value that are committed for an accepted job.
@@ -70,6 +71,9 @@
                              net::Answer otherwise);
   [[nodiscard]] bool is_accepted(const std::string& id) const;
   [[nodiscard]] Dependencies classify_dependencies(const PendingSubmission& pending) const;
+  static void add_finished(const wire::JobResultRecord& result, Dependencies& dependencies);
+  void add_unfinished(const PendingSubmission& pending, const std::string& id,
+                      Dependencies& dependencies) const;
   [[nodiscard]] const wire::JobResultRecord* known_result(const PendingSubmission& pending,
                                                           const std::string& id) const;
   void check_dependencies(PendingSubmission pending);
--- a/src/state/state_cache.cpp
+++ b/src/state/state_cache.cpp
@@ -33,6 +33,12 @@
   auto it = waiting_.find(id);
   return it == waiting_.end() ? nullptr : &it->second;
 }
+LiveJob StateCache::live_job(const std::string& id) const {
+  if (const JobEntry* entry = job(id)) return {LiveJob::Kind::ready, entry};
+  if (const JobEntry* entry = waiting(id)) return {LiveJob::Kind::waiting, entry};
+  const bool has_key = mod_revision(job_key(id)) > 0 || mod_revision(waiting_key(id)) > 0;
+  return {has_key ? LiveJob::Kind::unreadable : LiveJob::Kind::none, nullptr};
+}
 const wire::MachineRecord* StateCache::machine(const std::string& name) const {
   auto it = machines_.find(name);
   return it == machines_.end() ? nullptr : &it->second;
--- a/src/state/state_cache.h
+++ b/src/state/state_cache.h
@@ -25,6 +25,17 @@
   wire::JobRecord record;
   std::uint64_t mod_revision = 0;
 };
+/// What the cache holds of a job that has not ended.
+struct LiveJob {
+  enum class Kind {
+    none,        ///< the job has no key: it has ended, or was never accepted
+    ready,       ///< its tasks may start
+    waiting,     ///< it waits for others
+    unreadable,  ///< it has a key, so it was accepted, but its record cannot be decoded
+  };
+  Kind kind = Kind::none;
+  const JobEntry* entry = nullptr;  ///< null unless the job is ready or waiting
+};
 /// A shard's leader.
 struct LeaderEntry {
   int node = -1;  ///< -1: none, or a node that is not in the settings
@@ -77,6 +88,9 @@
   [[nodiscard]] const JobEntry* job(const std::string& id) const;
   /// Returns a job that waits for others; nullptr if there is none with this id.
   [[nodiscard]] const JobEntry* waiting(const std::string& id) const;
+  /// Returns what is known of a job that may be live. Use it to learn whether the job is live:
+  /// `job` and `waiting` return nullptr for one whose record cannot be decoded.
+  [[nodiscard]] LiveJob live_job(const std::string& id) const;
   /// Returns a machine; nullptr if there is none of this name.
   [[nodiscard]] const wire::MachineRecord* machine(const std::string& name) const;
   [[nodiscard]] const LeaderEntry& leader(int shard) const { return leaders_[shard]; }
--- a/tests/fault_combinations_results_test.cpp
+++ b/tests/fault_combinations_results_test.cpp
@@ -38,7 +38,10 @@
   static bool is_cancelled(std::size_t number) { return number % 10 == 9; }
 
   void store(const std::string& job, const std::string& record) {
-    transaction_.ops.push_back({state::job_result_key(job), record, 0});
+    store_key(state::job_result_key(job), record);
+  }
+  void store_key(const std::string& key, const std::string& value) {
+    transaction_.ops.push_back({key, value, 0});
     if (transaction_.ops.size() == kTransactionOps) flush();
   }
   void flush() {
@@ -212,6 +215,21 @@
   EXPECT_EQ(user_.request(0, "GET", "/v2/runs/run-200000").status, 503);
 }
 
+// Guards against an accepted job that counts as never accepted: a live job whose record cannot be
+// decoded was in no list of live jobs, so that it was answered 404, and a job that awaited it 422.
+TEST_F(FinishedJobs, AnUnreadableRecordOfALiveJobIsNotTakenForAMissingOne) {
+  const std::string record = R"({"a":"form of a later build"})";
+  store_key(state::job_key("run-200000"), record);
+  store_key(state::waiting_key("run-200001"), record);
+  flush();
+  for (const std::string job : {"run-200000", "run-200001"}) {
+    SCOPED_TRACE(job);
+    EXPECT_EQ(user_.request(0, "GET", "/v2/runs/" + job).status, 503);
+    EXPECT_EQ(user_.request(0, "POST", "/v2/runs/" + job + "/withdraw", "{}").status, 503);
+    EXPECT_EQ(user_.request(0, "POST", "/v2/runs", submission({job})).status, 503);
+  }
+}
+
 // Guards against an accepted job that counts as never accepted: it ended while the results of the
 // submission's other dependencies were read, so that it was neither live any more nor among those
 // that had been looked up.
