--- a/src/simulation/job_records.cpp
+++ b/src/simulation/job_records.cpp
@@ -43,6 +43,13 @@
          });
 }
 
+bool JobRecords::can_never_run(const std::string& id) const {
+  const wire::JobSpec& job = at(id).spec;
+  const bool run_together = (job.service || job.gang) && job.tasks > 1;
+  const bool is_in_one_zone = job.zone || job.same_zone;
+  return run_together && job.anti_affinity && is_in_one_zone;
+}
+
 std::optional<emulators::WorkerEmulator::Work> JobRecords::work_of(const wire::TaskId& task) const {
   const auto found = jobs_.find(task.job);
   if (found == jobs_.end()) return std::nullopt;
--- a/src/simulation/job_records.h
+++ b/src/simulation/job_records.h
@@ -60,6 +60,9 @@
   /// Returns whether the job depends on others, of which all have been accepted and none is a
   /// service.
   [[nodiscard]] bool are_dependencies_accepted(const std::string& id) const;
+  /// Returns whether the job can never run: its tasks run at the same time and have to be in two
+  /// zones, and it is bound to one.
+  [[nodiscard]] bool can_never_run(const std::string& id) const;
   /// Returns the work of a task for its worker, or nothing if the job does not exist. Tasks run for
   /// one, two or three times the job's `run_s`, depending on their index; tasks of a service run
   /// until they are stopped.
--- a/src/simulation/rule_checker.h
+++ b/src/simulation/rule_checker.h
@@ -48,8 +48,8 @@
   /// the answer, if it has one. Throws wire::Malformed if the body cannot be decoded.
   std::optional<wire::JobState> check_answer(const std::string& id, const net::Result& result,
                                              double asked_at, UserRequest request);
-  /// Checks the answer to a submission that was sent when all jobs that it depends on had been
-  /// accepted. Rule: refused.
+  /// Checks the answer to a submission of a job that can run, which was sent when all jobs that it
+  /// depends on had been accepted. Rule: refused.
   void check_dependent_submission(const std::string& id, const net::Result& result);
   /// Checks the tasks that are on the machines now. Rules: quota, ran_cancelled.
   void check_machines();
