--- a/src/emulators/worker.cpp
+++ b/src/emulators/worker.cpp
@@ -177,7 +177,7 @@
   } else if (command.op == Command::Op::stop && known && !exited) {
     stop(*task, command.grace_s);
   } else if (command.op == Command::Op::acknowledge && exited) {
-    observer_.acknowledged(*task);
+    observer_.acknowledged(*this, *task);
     tasks_.erase(task);
     send_heartbeat_soon();
   }
@@ -187,6 +187,7 @@
 ExitReason WorkerEmulator::refusal_reason(const wire::TaskId& task,
                                           const std::optional<Work>& work) const {
   if (!work) return ExitReason::unknown;
+  if (fault_ == Fault::starts_refused) return ExitReason::no_room;
   double used = 0;
   for (const Task& other : tasks_) {
     if (other.state == TaskState::exited) continue;
@@ -257,7 +258,10 @@
 
 void WorkerEmulator::advance(Task& task, double now) {
   const TaskState was = task.state;
-  if (was == TaskState::fetching) {
+  if (was == TaskState::fetching && fault_ == Fault::tasks_fail) {
+    task.state = TaskState::exited;
+    task.exit_reason = ExitReason::error;
+  } else if (was == TaskState::fetching) {
     task.state = TaskState::running;
     task.phase_ends_at = now + task.work.run_s;
   } else {
--- a/src/emulators/worker.h
+++ b/src/emulators/worker.h
@@ -53,7 +53,7 @@
     /// is the present one.
     std::function<void(const WorkerEmulator&, const Task&, wire::TaskState was)> state_changed;
     /// Called before an exited task is removed by an acknowledge command.
-    std::function<void(const Task&)> acknowledged;
+    std::function<void(const WorkerEmulator&, const Task&)> acknowledged;
   };
   /// `seed`: selects the first controller and the times between heartbeats.
   WorkerEmulator(actor::Loop& loop, Settings settings, Describe describe, unsigned seed,
@@ -67,6 +67,13 @@
     static const std::vector<Task> none;
     return loop_.now() - lease_renewed_at_ > settings_.lease_s ? none : tasks_;
   }
+  /// A fault of the machine under which its worker goes on.
+  enum class Fault {
+    none,
+    tasks_fail,      ///< every task fails as soon as it has its image
+    starts_refused,  ///< every start is refused, as if the machine had no free capacity
+  };
+  void set_fault(Fault fault) { fault_ = fault; }
   /// The cloud announces that it reclaims the machine in `recall_s` seconds.
   void announce_reclaim(double recall_s);
   /// Postpones the end of each task's phase by the duration of a hang, for tasks whose work stops
@@ -74,6 +81,8 @@
   void extend_tasks(double seconds);
   /// The worker's incarnation, which is incremented whenever its lease expires.
   [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
+  /// The highest fencing token that the worker has seen.
+  [[nodiscard]] std::uint64_t token() const { return token_; }
   /// The number of leases that have expired with tasks on the machine.
   [[nodiscard]] std::uint64_t leases_lost() const { return leases_lost_; }
 
@@ -106,10 +115,11 @@
   std::uint64_t sequence_ = 0;  // the last heartbeat's sequence number
   std::uint64_t token_ = 0;     // highest fencing token that it has seen
   std::uint64_t leases_lost_ = 0;
-  double lease_renewed_at_;              // when the last heartbeat with a valid response was sent
-  double sent_at_ = -1e9;                // when the last heartbeat was sent
-  double token_reported_at_ = -1e9;      // when a new token last caused an immediate heartbeat
-  std::size_t node_ = 0;                 // the controller that heartbeats go to
+  double lease_renewed_at_;          // when the last heartbeat with a valid response was sent
+  double sent_at_ = -1e9;            // when the last heartbeat was sent
+  double token_reported_at_ = -1e9;  // when a new token last caused an immediate heartbeat
+  std::size_t node_ = 0;             // the controller that heartbeats go to
+  Fault fault_ = Fault::none;
   bool in_flight_ = false;               // whether a heartbeat awaits its answer
   bool send_soon_after_answer_ = false;  // whether the next heartbeat follows its answer soon
   std::optional<double> reclaimed_at_;   // when the cloud reclaims the machine, as announced
--- a/src/simulation/cluster_options.h
+++ b/src/simulation/cluster_options.h
@@ -64,6 +64,12 @@
   double heartbeat_copies = 0;  ///< share of heartbeats that are delivered again later
   /// Share of heartbeats that are sent again once a shard has another leader.
   double copies_for_next_leader = 0;
+  /// Share of direct commands that are delivered again once or twice, from a tenth of a second to
+  /// more than two leases later.
+  double command_copies = 0;
+  /// Share of direct commands that are delivered again when a controller has started again, a
+  /// shard has another leader, or a machine continues after it has hung.
+  double command_copies_at_return = 0;
   /// Share of transactions that get no answer and are applied 2 to 12 s late.
   double late_writes = 0;
   double lost_answers = 0;  ///< share of transactions that are applied and get no answer
--- a/src/simulation/fault_injector.cpp
+++ b/src/simulation/fault_injector.cpp
@@ -5,11 +5,17 @@
 
 namespace shunttrail::simulation {
 
+using emulators::WorkerEmulator;
+
 namespace {
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kHeartbeatPath = "/agent/beat";
 constexpr const char* kCommitPath = "/commit";
+constexpr const char* kDirectCommandPath = "/orders";
 constexpr double kDelayedCommitMinS = 2, kDelayedCommitMaxS = 12;
+constexpr double kCommandCopyMinS = 0.1;  // delay of a copy of a direct command
+constexpr double kCommandCopyMaxLeases = 2.2;
+constexpr double kMaxDelayAfterReturnS = 1;  // of the copies that are sent after a return
 }  // namespace
 
 FaultInjector::FaultInjector(Simulation& simulation, const ClusterOptions& options,
@@ -103,6 +109,7 @@
     if (faults.responses_lost_until > now) delivery.arrives = false;
     if (faults.commands_held_until > now)
       delivery.request_delay_s = faults.commands_held_until - now;
+    if (request.path == kDirectCommandPath) copy_direct_commands(request, delivery);
   }
   if (const int machine = machines_.find_host(request.from);
       machine >= 0 && machine_faults(machine).heartbeats_cut_until > now)
@@ -110,6 +117,29 @@
   return delivery;
 }
 
+void FaultInjector::copy_direct_commands(const Request& request, Delivery& delivery) {
+  if (options_.command_copies > 0 && simulation_.chance(options_.command_copies)) {
+    const int copies = simulation_.chance(0.5) ? 1 : 2;
+    for (int copy = 0; copy < copies; ++copy)
+      delivery.copy_delays_s.push_back(
+          simulation_.draw(kCommandCopyMinS, kCommandCopyMaxLeases * options_.lease_s));
+    commands_copied_ += delivery.copy_delays_s.size();
+  }
+  if (options_.command_copies_at_return > 0 &&
+      simulation_.chance(options_.command_copies_at_return))
+    saved_commands_.push_back(request);
+}
+
+void FaultInjector::send_saved_commands() {
+  for (const Request& commands : std::exchange(saved_commands_, {})) {
+    ++commands_copied_;
+    simulation_.at(simulation_.now() + simulation_.draw(0, kMaxDelayAfterReturnS),
+                   [this, commands] {
+                     simulation_.send_copy(commands, {commands.to, kWorkerPort});
+                   });
+  }
+}
+
 void FaultInjector::deliver_to_state(const Request& request, Delivery& delivery) {
   if (options_.max_link_delay_s <= 0)
     delivery.request_delay_s = delivery.answer_delay_s =
@@ -169,6 +199,7 @@
 
 void FaultInjector::send_saved_heartbeats() {
   if (!update_leaders()) return;
+  send_saved_commands();
   for (const Request& heartbeat : std::exchange(saved_heartbeats_, {}))
     for (const auto& host : controllers_.hosts()) {
       const double delay_s = simulation_.chance(0.5) ? 0 : simulation_.draw(0, 4);
@@ -213,7 +244,10 @@
 
 void FaultInjector::kill(int node, double back_after_s) {
   controllers_.stop(node);
-  simulation_.at(simulation_.now() + back_after_s, [this, node] { controllers_.start(node); });
+  simulation_.at(simulation_.now() + back_after_s, [this, node] {
+    controllers_.start(node);
+    send_saved_commands();
+  });
 }
 
 void FaultInjector::freeze(int node, double for_s) { controllers_.freeze(node, for_s); }
@@ -250,6 +284,8 @@
   if (simulation_.chance(0.5)) m.worker->extend_tasks(until - std::max(faults.hung_until, now));
   faults.hung_until = until;
   m.host->freeze(until);
+  if (options_.command_copies_at_return > 0)
+    simulation_.at(until, [this] { send_saved_commands(); });
 }
 
 void FaultInjector::hang_repeatedly(int machine, int times) {
@@ -272,6 +308,15 @@
   }
 }
 
+void FaultInjector::make_faulty(int machine, WorkerEmulator::Fault fault, double for_s) {
+  if (!machines_[machine].worker) return;
+  machines_[machine].worker->set_fault(fault);
+  simulation_.at(simulation_.now() + for_s, [this, machine] {
+    if (const auto& worker = machines_[machine].worker)
+      worker->set_fault(WorkerEmulator::Fault::none);
+  });
+}
+
 void FaultInjector::kill_machine(int machine) { machines_.kill(machine); }
 
 void FaultInjector::reclaim_machine(int machine, double notice_s) {
--- a/src/simulation/fault_injector.h
+++ b/src/simulation/fault_injector.h
@@ -68,6 +68,8 @@
   /// The machine hangs `times` times, each time for less than its lease. Between two hangs it runs
   /// for 0.05 to 1 s or for a few events.
   void hang_repeatedly(int machine, int times);
+  /// The machine's tasks fail, or its worker refuses to start any.
+  void make_faulty(int machine, emulators::WorkerEmulator::Fault fault, double for_s);
   /// The machine fails at once; the cloud still lists it.
   void kill_machine(int machine);
   /// The cloud reclaims a spot machine. `notice_s`: the time that its notice announces; 0: it gives
@@ -90,6 +92,9 @@
   /// Sends copies of the saved heartbeats (`copies_for_next_leader`) to all controllers if a shard
   /// has had a change of leader since the last call.
   void send_saved_heartbeats();
+  /// The number of copies of direct commands that were sent (`command_copies`,
+  /// `command_copies_at_return`).
+  [[nodiscard]] std::uint64_t commands_copied() const { return commands_copied_; }
   /// The number of transactions that were applied without an answer (`lost_answers`).
   [[nodiscard]] std::uint64_t answers_lost() const { return answers_lost_; }
 
@@ -119,6 +124,8 @@
   // Returns when the cut that separates sender and receiver ends; 0 if none does.
   [[nodiscard]] double zone_cut_until(const Request& request) const;
   void deliver_to_state(const Request& request, Delivery& delivery);
+  void copy_direct_commands(const Request& request, Delivery& delivery);
+  void send_saved_commands();
   bool is_answer_lost(const Request& request);
   bool update_leaders();
 
@@ -134,6 +141,8 @@
   double state_slow_until_ = 0, state_latency_s_ = 0;
   double cloud_outage_until_ = 0;
   std::vector<Request> saved_heartbeats_;
+  std::vector<Request> saved_commands_;  // direct commands (`command_copies_at_return`)
+  std::uint64_t commands_copied_ = 0;
   std::vector<int> leaders_;  // by shard, the last known leader; -1: none so far
   std::uint64_t answers_lost_ = 0;
 };
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -65,7 +65,9 @@
       [this](const WorkerEmulator& worker, const WorkerEmulator::Task& task, wire::TaskState was) {
         if (rules_.task_state_changed(worker, task, was)) users_.task_completed(task.id.job);
       },
-      [this](const WorkerEmulator::Task& task) { rules_.task_acknowledged(task); }};
+      [this](const WorkerEmulator&, const WorkerEmulator::Task& task) {
+        rules_.task_acknowledged(task);
+      }};
 }
 
 CloudEmulator::Power SimulatedCluster::power() {
--- a/tests/fault_combinations.h
+++ b/tests/fault_combinations.h
@@ -23,6 +23,7 @@
   std::size_t completed_tasks = 0;
   std::uint64_t restarts_after_completion = 0;  ///< see RuleChecker
   std::uint64_t saves = 0;
+  std::uint64_t commands_copied = 0;  ///< see FaultInjector
   RuleChecker::AfterCancel after_cancel;
   std::uint64_t digest = 0;  ///< of the whole history, see Simulation::digest
 };
@@ -72,7 +73,10 @@
  public:
   /// `required_faults`: names of faults that are always among those that begin.
   HistoryPlayer(unsigned seed, std::vector<std::string> required_faults)
-      : required_faults_(std::move(required_faults)), cluster_(seed, random_options(seed)) {}
+      : HistoryPlayer(seed, std::move(required_faults), random_options(seed)) {}
+  HistoryPlayer(unsigned seed, std::vector<std::string> required_faults,
+                const ClusterOptions& options)
+      : required_faults_(std::move(required_faults)), cluster_(seed, options) {}
 
   HistoryResult play() {
     cluster_.run_for(12);
@@ -142,7 +146,19 @@
     return drawn;
   }
 
+  // Where direct commands are copied, attempts also end early: started ones fail, others are
+  // refused.
+  void make_machines_faulty() {
+    using Fault = emulators::WorkerEmulator::Fault;
+    if (cluster_.options().command_copies <= 0 || cluster_.machines().size() == 0) return;
+    for (const Fault fault : {Fault::tasks_fail, Fault::starts_refused}) {
+      const double for_s = sim_.draw(2, 15);
+      cluster_.faults().make_faulty(faults::random_machine(cluster_), fault, for_s);
+    }
+  }
+
   void begin_faults() {
+    make_machines_faulty();
     for (const std::size_t n : random_faults()) {
       const NamedFault& fault = named_faults()[n];
       result_.faults.emplace_back(fault.name);
@@ -163,6 +179,7 @@
     cluster_.run_for(80);  // longer than the longest fault
     ClusterOptions& options = cluster_.options();
     options.late_writes = options.heartbeat_copies = options.lost_answers = 0;
+    options.command_copies = options.command_copies_at_return = 0;
     cluster_.run_for(420);
     cluster_.query_all_controllers();
     machines_after_faults_ = cluster_.rules().describe_machines();
@@ -206,6 +223,7 @@
     result_.restarts_after_completion = rules.restarts_after_completion();
     result_.saves = rules.saves();
     result_.after_cancel = rules.after_cancel();
+    result_.commands_copied = cluster_.faults().commands_copied();
     result_.digest = cluster_.digest();
   }
 
@@ -232,6 +250,17 @@
   return out;
 }
 
+/// Expects that no rule was broken in the history of this seed, every accepted job ended, and no
+/// completed task was started again.
+inline void expect_no_violations(unsigned seed, const HistoryResult& result) {
+  EXPECT_EQ(result.broken, std::vector<std::string>{})
+      << "seed " << seed << ": " << join_names(result.faults);
+  EXPECT_EQ(result.unfinished, std::vector<std::string>{})
+      << "seed " << seed << ": " << join_names(result.faults);
+  EXPECT_EQ(result.restarts_after_completion, 0u)
+      << "seed " << seed << ": " << join_names(result.faults);
+}
+
 /// Plays the histories of the seeds from `first` to `last`, both included. Expects that no rule is
 /// broken, every accepted job ends, and no completed task is started again.
 inline void expect_no_violations(unsigned first, unsigned last,
@@ -240,12 +269,7 @@
   RuleChecker::AfterCancel latest;
   for (unsigned seed = first; seed <= last; ++seed) {
     HistoryResult result = play_history(seed, required_faults);
-    EXPECT_EQ(result.broken, std::vector<std::string>{})
-        << "seed " << seed << ": " << join_names(result.faults);
-    EXPECT_EQ(result.unfinished, std::vector<std::string>{})
-        << "seed " << seed << ": " << join_names(result.faults);
-    EXPECT_EQ(result.restarts_after_completion, 0u)
-        << "seed " << seed << ": " << join_names(result.faults);
+    expect_no_violations(seed, result);
     completed_tasks += result.completed_tasks;
     latest.start_executed = std::max(latest.start_executed, result.after_cancel.start_executed);
     latest.run_started = std::max(latest.run_started, result.after_cancel.run_started);
--- a/tests/fault_combinations_emulators_test.cpp
+++ b/tests/fault_combinations_emulators_test.cpp
@@ -53,7 +53,7 @@
         machine.loop(), s, [this](const wire::TaskId&) { return work; }, 1,
         WorkerEmulator::Observer{[this](const WorkerEmulator&, const WorkerEmulator::Task& t,
                                         TaskState) { states.push_back(t.state); },
-                                 [](const WorkerEmulator::Task&) {}});
+                                 [](const WorkerEmulator&, const WorkerEmulator::Task&) {}});
     sim.run_until(1);
   }
   void send_command(const char* operation, double grace_s = 0, std::uint64_t incarnation = 1,
