Logs and metrics that show an attempt which runs again after it was acknowledged, and why commands were sent

The records of the incident could not tell why the leader had allowed the reap, under which token, nor who led at that moment: starts and reaps were logged nowhere, and the case was counted nowhere.

- /metrics, per shard: unexpected_attempts (attempts that a worker lists as running without a placement, each once: what an operator alerts on), unfenced (attempts that are over and await a higher token), token_advances.
The names that were there stay; the test of the names lists the three new ones.
- Each unexpected attempt is logged at the level error, with machine, attempt, task and token.
- At the level debug each start, stop and reap is logged with machine, way, token and reason.
- The new token is logged when the scheduler goes on under it; a takeover was logged before.

ShardScheduler.AnAttemptThatRunsAfterItsAcknowledgementIsCountedOnce.

--- a/src/controller/direct_command_sender.cpp
+++ b/src/controller/direct_command_sender.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "controller/command_log.h"
 #include "controller/shard_controller.h"
 
 namespace shunttrail::controller {
@@ -51,7 +52,8 @@
   auto skip = [&](const std::string& machine) {
     return has_held_response(machine) || is_unreachable(machine);
   };
-  for (const auto& direct : scheduler.direct_commands(host_.may_start_tasks(), skip, host_.now()))
+  for (const auto& direct : scheduler.direct_commands(host_.may_start_tasks(), skip, host_.now())) {
+    log_commands(scheduler, direct.machine, CommandPath::direct, direct.token, direct.commands);
     client(direct.machine, direct.addr)
         .request("POST", "/orders",
                  wire::encode_direct_commands(direct.token, direct.incarnation, direct.commands),
@@ -59,6 +61,7 @@
                  host_.reply<net::Result>([this, direct](const net::Result& response) {
                    on_response(direct, response);
                  }));
+  }
 }
 
 void DirectCommandSender::on_response(const scheduler::DirectCommands& commands,
@@ -70,6 +73,7 @@
   if (!has_heartbeat) return;
   try {
     scheduler->take_heartbeat(wire::decode_heartbeat(response.body), host_.now(), true);
+    log_unexpected_attempts(*scheduler);
   } catch (const wire::Malformed& error) {
     ++malformed_;
     spdlog::info("cannot decode the response of machine {} to direct commands: {}",
--- a/src/controller/heartbeat_responder.cpp
+++ b/src/controller/heartbeat_responder.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "controller/command_log.h"
 #include "wire/codec.h"
 
 namespace shunttrail::controller {
@@ -26,6 +27,7 @@
   const std::string& machine = heartbeat.machine;
   const double now = host_.now();
   const HeartbeatResult result = scheduler->take_heartbeat(heartbeat, now);
+  log_unexpected_attempts(*scheduler);
   if (result == HeartbeatResult::unknown) return exchange->send(unavailable());
   if (result == HeartbeatResult::older) return respond_to_older_heartbeat(exchange, machine);
   refuse_superseded(machine);
@@ -66,7 +68,7 @@
   scheduler::ShardScheduler& scheduler = *host_.active_scheduler();
   if (scheduler.has_unacknowledged_start(machine)) return exchange->send(unavailable());
   const auto commands = scheduler.stop_commands(machine);
-  exchange->send(heartbeat_response(scheduler.command_token(machine), commands));
+  respond_with(exchange, machine, commands);
 }
 
 // Answers the held heartbeat of this machine with 503, since a newer one has arrived.
@@ -84,7 +86,15 @@
   // been advanced or the direct command has been answered.
   if (scheduler.has_unacknowledged_start(machine)) return exchange->send(unavailable());
   const auto commands = scheduler.commands_for(machine, host_.may_start_tasks(), host_.now());
-  exchange->send(heartbeat_response(scheduler.command_token(machine), commands));
+  respond_with(exchange, machine, commands);
+}
+
+void HeartbeatResponder::respond_with(const net::ExchangePtr& exchange, const std::string& machine,
+                                      const std::vector<wire::Command>& commands) {
+  const scheduler::ShardScheduler& scheduler = *host_.active_scheduler();
+  const std::uint64_t token = scheduler.command_token(machine);
+  log_commands(scheduler, machine, CommandPath::heartbeat_response, token, commands);
+  exchange->send(heartbeat_response(token, commands));
 }
 
 void HeartbeatResponder::flush_held() {
--- a/src/controller/heartbeat_responder.h
+++ b/src/controller/heartbeat_responder.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <map>
 #include <string>
+#include <vector>
 
 #include "controller/shard_host.h"
 #include "net/http.h"
@@ -39,6 +40,8 @@
   void respond_to_older_heartbeat(const net::ExchangePtr& exchange, const std::string& machine);
   void refuse_superseded(const std::string& machine);
   void respond(const net::ExchangePtr& exchange, const std::string& machine);
+  void respond_with(const net::ExchangePtr& exchange, const std::string& machine,
+                    const std::vector<wire::Command>& commands);
 
   ShardHost& host_;
   std::map<std::string, HeldResponse> held_;  ///< By machine.
--- a/src/controller/leadership_mover.cpp
+++ b/src/controller/leadership_mover.cpp
@@ -45,10 +45,11 @@
   scheduler::ShardScheduler* scheduler = host_.active_scheduler();
   const auto& leader = host_.state_store().cache().leader(host_.shard());
   if (!scheduler || leader.mod_revision == scheduler->token()) return;
-  if (leader.node == host_.settings().self && leader.tag == token_commit_tag_)
-    scheduler->advance_token(leader.mod_revision, host_.now());
-  else
-    close_scheduler();
+  if (leader.node != host_.settings().self || leader.tag != token_commit_tag_)
+    return close_scheduler();
+  spdlog::info("shard {}: the fencing token is {} now, {} before", host_.shard(),
+               leader.mod_revision, scheduler->token());
+  scheduler->advance_token(leader.mod_revision, host_.now());
 }
 
 void LeadershipMover::lead(std::uint64_t token) {
--- a/src/scheduler/heartbeat_processor.cpp
+++ b/src/scheduler/heartbeat_processor.cpp
@@ -23,6 +23,10 @@
 /// busy.
 constexpr double kFullMachinePauseS = 1;
 
+bool is_same_attempt(const wire::TaskStatus& a, const wire::TaskStatus& b) {
+  return a.attempt == b.attempt && a.task.index == b.task.index && a.task.job == b.task.job;
+}
+
 // Returns the index of the placement that the status belongs to, or the number of placements if
 // there is none.
 std::size_t find_placement(const std::vector<Placement>& placements,
@@ -51,7 +55,7 @@
     tasks.token_seen = true;
     tasks.needs_resync = false;
   }
-  tasks.unknown_tasks.clear();
+  const std::vector<wire::TaskStatus> unknown_before = std::exchange(tasks.unknown_tasks, {});
   std::vector<bool> is_listed(tasks.placements.size(), false);
   for (const wire::TaskStatus& status : heartbeat.tasks) {
     const std::size_t index = find_placement(tasks.placements, status);
@@ -62,11 +66,26 @@
     is_listed[index] = true;
     update_placement(machine, tasks.placements[index], status, now);
   }
+  note_unexpected(machine, unknown_before);
   handle_absent(machine, is_listed, heartbeat, source, now);
 }
 
 // ---- tasks that the heartbeat lists
 
+void HeartbeatProcessor::note_unexpected(const Machine& machine,
+                                         const std::vector<wire::TaskStatus>& unknown_before) {
+  for (const wire::TaskStatus& status : machine.tasks.unknown_tasks) {
+    if (status.state == TaskState::exited) continue;
+    const bool was_listed = std::any_of(
+        unknown_before.begin(), unknown_before.end(), [&](const wire::TaskStatus& before) {
+          return is_same_attempt(before, status) && before.state != TaskState::exited;
+        });
+    if (was_listed) continue;
+    ++context_.counters.unexpected;
+    unexpected_.push_back({machine.name, status});
+  }
+}
+
 // Counts the result of a task that this leader has not started: an earlier leader may have ended
 // before it could persist the result.
 void HeartbeatProcessor::unknown_task(Machine& machine, const wire::TaskStatus& status,
--- a/src/scheduler/heartbeat_processor.h
+++ b/src/scheduler/heartbeat_processor.h
@@ -2,6 +2,7 @@
 // which do not exist and never will (PROTOCOL, Heartbeats; docs/safety.md). Free of I/O.
 #pragma once
 #include <cstdint>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,13 @@
   direct_response,
 };
 
+/// An attempt that a worker lists as running, or about to run, without a placement: it was
+/// acknowledged, given up, or started by nobody that this leader knows of.
+struct UnexpectedAttempt {
+  std::string machine;
+  wire::TaskStatus status;
+};
+
 /// A task that has completed.
 struct FinishedTask {
   jobs::JobPtr job;
@@ -50,8 +58,13 @@
   [[nodiscard]] std::vector<FinishedTask> take_finished() {
     return std::exchange(finished_tasks_, {});
   }
+  /// Returns the unexpected attempts that have been listed for the first time since the last call.
+  [[nodiscard]] std::vector<UnexpectedAttempt> take_unexpected() {
+    return std::exchange(unexpected_, {});
+  }
 
  private:
+  void note_unexpected(const Machine& machine, const std::vector<wire::TaskStatus>& unknown_before);
   void update_placement(Machine& machine, Placement& placement, const wire::TaskStatus& status,
                         double now);
   void unknown_task(Machine& machine, const wire::TaskStatus& status, double now);
@@ -68,6 +81,7 @@
   Machines& machines_;
   Placements& placements_;
   const TokenPolicy& token_policy_;
+  std::vector<UnexpectedAttempt> unexpected_;
   std::vector<FinishedTask> finished_tasks_;
 };
 
--- a/src/scheduler/shard_context.h
+++ b/src/scheduler/shard_context.h
@@ -21,6 +21,8 @@
   std::uint64_t dones = 0;             // tasks that completed
   std::uint64_t errors = 0;            // tasks that failed
   std::uint64_t lost = 0;              // placements that ended without a report
+  std::uint64_t unexpected = 0;        // attempts listed as running without a placement
+  std::uint64_t token_advances = 0;    // tokens obtained after the first
   std::uint64_t rents = 0;             // machines rented
   std::uint64_t transferred = 0;       // machines transferred to another shard
   std::uint64_t preempted = 0;         // placements preempted
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -258,6 +258,12 @@
   return machine ? token_policy_.command_token(*machine) : token();
 }
 
+std::string ShardScheduler::reason_for(const std::string& machine_name,
+                                       const wire::Command& command) const {
+  const Machine* machine = machines_.find(machine_name);
+  return machine ? worker_commands_.reason_for(*machine, command) : "the machine is unknown";
+}
+
 bool ShardScheduler::has_unacknowledged_start(const std::string& machine_name) const {
   const Machine* machine = machines_.find(machine_name);
   return machine && worker_commands_.has_unacknowledged_start(*machine);
@@ -270,6 +276,7 @@
 
 void ShardScheduler::advance_token(std::uint64_t token, double now) {
   token_policy_.advance(token, now);
+  ++context_.counters.token_advances;
   placements_.token_advanced();
 }
 
@@ -409,7 +416,7 @@
 }
 
 std::string ShardScheduler::summary() const {
-  return shard_summary(context_, machines_, delegation_planner_.undelegated_tasks(), token());
+  return shard_summary(context_, machines_, delegation_planner_.undelegated_tasks(), token_policy_);
 }
 
 }  // namespace shunttrail::scheduler
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -119,6 +119,13 @@
   /// Returns the token for the response that contains the commands returned last for the machine
   /// (TokenPolicy::command_token).
   [[nodiscard]] std::uint64_t command_token(const std::string& machine_name) const;
+  /// WorkerCommands::reason_for, for a machine by name.
+  [[nodiscard]] std::string reason_for(const std::string& machine_name,
+                                       const wire::Command& command) const;
+  /// HeartbeatProcessor::take_unexpected
+  [[nodiscard]] std::vector<UnexpectedAttempt> take_unexpected() {
+    return heartbeat_processor_.take_unexpected();
+  }
   /// Returns whether responses must not renew the machine's lease under the current token
   /// (WorkerCommands::has_unacknowledged_start).
   [[nodiscard]] bool has_unacknowledged_start(const std::string& machine_name) const;
--- a/src/scheduler/shard_summary.cpp
+++ b/src/scheduler/shard_summary.cpp
@@ -17,6 +17,7 @@
 
 struct TaskCounts {
   std::size_t placed = 0, queued = 0, pending = 0;
+  std::size_t unfenced = 0;  // attempts that are over and await a higher token
   // The placements by how far they have got.
   std::size_t planned = 0, unsent = 0, unseen = 0, fetching = 0, running = 0, over = 0;
 };
@@ -53,9 +54,10 @@
 }
 
 json tasks_json(const TaskCounts& counts) {
-  return {{"placed", counts.placed}, {"planned", counts.planned},   {"unsent", counts.unsent},
-          {"unseen", counts.unseen}, {"fetching", counts.fetching}, {"running", counts.running},
-          {"over", counts.over},     {"waiting", counts.queued},    {"pending", counts.pending}};
+  return {{"placed", counts.placed},  {"planned", counts.planned},   {"unsent", counts.unsent},
+          {"unseen", counts.unseen},  {"fetching", counts.fetching}, {"running", counts.running},
+          {"over", counts.over},      {"unfenced", counts.unfenced}, {"waiting", counts.queued},
+          {"pending", counts.pending}};
 }
 
 json counters_json(const Counters& counters) {
@@ -64,6 +66,8 @@
           {"dones", counters.dones},
           {"errors", counters.errors},
           {"lost", counters.lost},
+          {"unexpected_attempts", counters.unexpected},
+          {"token_advances", counters.token_advances},
           {"rents", counters.rents},
           {"given", counters.transferred},
           {"preempted", counters.preempted},
@@ -92,17 +96,18 @@
 }  // namespace
 
 std::string shard_summary(const ShardContext& context, const Machines& machines,
-                          const UndelegatedTasks& waiting, std::uint64_t token) {
+                          const UndelegatedTasks& waiting, const TokenPolicy& token_policy) {
   MachineCounts machine_counts;
   TaskCounts task_counts;
   for (const auto& [number, machine] : machines.all()) {
     count(*machine, context.catalogue, machine_counts);
     for (const Placement& placement : machine->tasks.placements) count(placement, task_counts);
+    task_counts.unfenced += token_policy.unfenced_attempts(*machine);
     task_counts.queued += machine->queue.tasks.size();
   }
   for (const auto& [id, job] : context.jobs) task_counts.pending += job->pending.size();
   json summary{{"shard", context.shard},
-               {"token", token},
+               {"token", token_policy.token()},
                {"jobs", context.jobs.size()},
                {"k", machines.idle_waits()},
                {"foreign", foreign_tasks(context)}};
--- a/src/scheduler/shard_summary.h
+++ b/src/scheduler/shard_summary.h
@@ -11,6 +11,7 @@
 /// Counts the shard's machines, placements and jobs, and returns the figures as a JSON object. Its
 /// names are listed in docs/architecture.md.
 [[nodiscard]] std::string shard_summary(const ShardContext& context, const Machines& machines,
-                                        const UndelegatedTasks& waiting, std::uint64_t token);
+                                        const UndelegatedTasks& waiting,
+                                        const TokenPolicy& token_policy);
 
 }  // namespace shunttrail::scheduler
--- a/src/scheduler/token_policy.cpp
+++ b/src/scheduler/token_policy.cpp
@@ -44,8 +44,6 @@
     machine.tasks.command_token = token_;
 }
 
-// Returns the number of attempts on the machine that can be acknowledged only under a token that is
-// higher than the newest.
 std::size_t TokenPolicy::unfenced_attempts(const Machine& machine) const {
   const MachineTasks& tasks = machine.tasks;
   const auto count_if = [](const auto& items, const auto& matches) {
--- a/src/scheduler/token_policy.h
+++ b/src/scheduler/token_policy.h
@@ -65,10 +65,12 @@
   [[nodiscard]] bool is_fenced(const Machine& machine, std::uint64_t direct_start_token) const {
     return direct_start_token < command_token(machine);
   }
+  /// Returns the number of attempts on the machine that are over and can be acknowledged only under
+  /// a token that is higher than the newest.
+  [[nodiscard]] std::size_t unfenced_attempts(const Machine& machine) const;
 
  private:
   [[nodiscard]] bool needs_newest_token(const Machine& machine) const;
-  [[nodiscard]] std::size_t unfenced_attempts(const Machine& machine) const;
 
   const Machines& machines_;
   const std::uint64_t opened_under_;
--- a/src/scheduler/worker_commands.cpp
+++ b/src/scheduler/worker_commands.cpp
@@ -50,6 +50,27 @@
   return commands;
 }
 
+std::string WorkerCommands::reason_for(const Machine& machine, const Command& command) const {
+  const auto& placements = machine.tasks.placements;
+  const auto placement =
+      std::find_if(placements.begin(), placements.end(), [&](const Placement& other) {
+        return other.attempt == command.attempt && other.task == command.task.index &&
+               other.job->spec.id == command.task.job;
+      });
+  const bool is_acknowledgement = command.op == Command::Op::acknowledge;
+  if (placement == placements.end())
+    return "no placement" + (is_acknowledgement
+                                 ? ", direct starts up to token " +
+                                       std::to_string(machine.tasks.unlisted_start_token)
+                                 : std::string());
+  if (is_acknowledgement)
+    return "the attempt is over, its direct start had token " +
+           std::to_string(placement->direct_start_token);
+  if (command.op == Command::Op::start) return "the placement is recorded";
+  if (placement->job->ended) return "the job has ended";
+  return placement->preempted ? "preempted" : "the task is not wanted on this machine";
+}
+
 bool WorkerCommands::has_unacknowledged_start(const Machine& machine) const {
   return std::any_of(
       machine.tasks.placements.begin(), machine.tasks.placements.end(),
--- a/src/scheduler/worker_commands.h
+++ b/src/scheduler/worker_commands.h
@@ -40,6 +40,8 @@
   /// Returns the commands for the response to a heartbeat that arrived after a newer one: stop
   /// commands for unwanted tasks, and no others.
   [[nodiscard]] std::vector<wire::Command> stop_commands(Machine& machine) const;
+  /// Returns why the command is sent to the machine, for logs.
+  [[nodiscard]] std::string reason_for(const Machine& machine, const wire::Command& command) const;
   /// Returns whether the machine has placements that are not recorded yet. A response that waits
   /// for their commit can contain their start commands.
   [[nodiscard]] static bool awaits_commit(const Machine& machine);
--- a/tests/shard_scheduler_test.cpp
+++ b/tests/shard_scheduler_test.cpp
@@ -520,6 +520,29 @@
   });
 }
 
+TEST(ShardScheduler, AnAttemptThatRunsAfterItsAcknowledgementIsCountedOnce) {
+  SingleShard shard;
+  shard.add_machine("m-1");
+  shard.submit(make_job(1, 1, 1));
+  const auto starts = shard.heartbeat("m-1", 1);
+  ASSERT_EQ(starts.size(), 1u);
+  const std::vector<wire::TaskStatus> running = {
+      {starts[0].task, starts[0].attempt, wire::TaskState::running, wire::ExitReason::none}};
+  const std::vector<wire::TaskStatus> failed = {
+      {starts[0].task, starts[0].attempt, wire::TaskState::exited, wire::ExitReason::error}};
+  shard.heartbeat("m-1", 2, running);
+  ASSERT_TRUE(acknowledges(shard.heartbeat("m-1", 3, failed), starts[0].attempt));
+  shard.heartbeat("m-1", 4);
+  EXPECT_EQ(shard.scheduler->counters().unexpected, 0u);
+  shard.heartbeat("m-1", 5, running);
+  shard.heartbeat("m-1", 6, running);
+  EXPECT_EQ(shard.scheduler->counters().unexpected, 1u);
+  const auto unexpected = shard.scheduler->take_unexpected();
+  ASSERT_EQ(unexpected.size(), 1u);
+  EXPECT_EQ(unexpected[0].machine, "m-1");
+  EXPECT_EQ(unexpected[0].status.attempt, starts[0].attempt);
+}
+
 // A copy of a direct start may arrive after its answer, and starts an attempt that the worker has
 // removed under the same token.
 TEST(ShardScheduler, AnAnsweredDirectStartIsAcknowledgedOnlyUnderAHigherToken) {
--- a/tests/wire_golden_test.cpp
+++ b/tests/wire_golden_test.cpp
@@ -411,7 +411,9 @@
             "booting capacity commit_failures commits delegated direct dones emptied errors "
             "fetching foreign given idle jobs k lost ordered over pending placed planned preempted "
             "refused rents replaced "
-            "returns running shard starts token unseen unsent up used waiting ");
+            "returns running shard starts token token_advances unexpected_attempts unfenced unseen "
+            "unsent up "
+            "used waiting ");
 }
 
 }  // namespace
