--- a/src/scheduler/heartbeat_processor.cpp
+++ b/src/scheduler/heartbeat_processor.cpp
@@ -45,17 +45,18 @@
   MachineTasks& tasks = machine.tasks;
   // A machine that was another shard's in between may list attempts that this leader has started.
   const bool is_first = tasks.incarnation == 0;
-  if (is_first && token_policy_.excludes_earlier_leaders(heartbeat.token))
-    tasks.unlisted_start_token = heartbeat.token;
+  const bool under_own_token = token_policy_.excludes_earlier_leaders(heartbeat.token);
+  if (is_first && under_own_token) tasks.unlisted_start_token = heartbeat.token;
+  const UnknownTasks before{std::exchange(tasks.unknown_tasks, {}),
+                            token_policy_.excludes_earlier_leaders(tasks.token)};
   tasks.incarnation = heartbeat.incarnation;
   tasks.sequence = heartbeat.sequence;
   tasks.token = heartbeat.token;
   token_policy_.update_command_token(machine);
-  if (token_policy_.excludes_earlier_leaders(heartbeat.token)) {
+  if (under_own_token) {
     tasks.token_seen = true;
     tasks.needs_resync = false;
   }
-  const std::vector<wire::TaskStatus> unknown_before = std::exchange(tasks.unknown_tasks, {});
   std::vector<bool> is_listed(tasks.placements.size(), false);
   for (const wire::TaskStatus& status : heartbeat.tasks) {
     const std::size_t index = find_placement(tasks.placements, status);
@@ -66,21 +67,23 @@
     is_listed[index] = true;
     update_placement(machine, tasks.placements[index], status, now);
   }
-  note_unexpected(machine, unknown_before);
+  if (under_own_token) note_unexpected(machine, before);
   handle_absent(machine, is_listed, heartbeat, source, now);
 }
 
 // ---- tasks that the heartbeat lists
 
-void HeartbeatProcessor::note_unexpected(const Machine& machine,
-                                         const std::vector<wire::TaskStatus>& unknown_before) {
+// Called only for heartbeats under a token of this leader: one under an earlier token may be an old
+// copy, of which a later heartbeat shows whether the attempt is still there.
+void HeartbeatProcessor::note_unexpected(const Machine& machine, const UnknownTasks& before) {
   for (const wire::TaskStatus& status : machine.tasks.unknown_tasks) {
-    if (status.state == TaskState::exited) continue;
-    const bool was_listed = std::any_of(
-        unknown_before.begin(), unknown_before.end(), [&](const wire::TaskStatus& before) {
-          return is_same_attempt(before, status) && before.state != TaskState::exited;
+    const bool ran_before =
+        std::any_of(before.tasks.begin(), before.tasks.end(), [&](const wire::TaskStatus& other) {
+          return is_same_attempt(other, status) && other.state != TaskState::exited;
         });
-    if (was_listed) continue;
+    const bool is_noted = ran_before && before.under_own_token;
+    const bool is_unexpected = ran_before || status.state != TaskState::exited;
+    if (is_noted || !is_unexpected) continue;
     ++context_.counters.unexpected;
     unexpected_.push_back({machine.name, status});
   }
--- a/src/scheduler/heartbeat_processor.h
+++ b/src/scheduler/heartbeat_processor.h
@@ -58,13 +58,19 @@
   [[nodiscard]] std::vector<FinishedTask> take_finished() {
     return std::exchange(finished_tasks_, {});
   }
-  /// Returns the unexpected attempts that have been listed for the first time since the last call.
+  /// Returns the unexpected attempts that have been confirmed since the last call: by a heartbeat
+  /// that the worker sent after it had seen a token of this leader. Each is returned once.
   [[nodiscard]] std::vector<UnexpectedAttempt> take_unexpected() {
     return std::exchange(unexpected_, {});
   }
 
  private:
-  void note_unexpected(const Machine& machine, const std::vector<wire::TaskStatus>& unknown_before);
+  /// The tasks without a placement in the heartbeat before.
+  struct UnknownTasks {
+    std::vector<wire::TaskStatus> tasks;
+    bool under_own_token = false;
+  };
+  void note_unexpected(const Machine& machine, const UnknownTasks& before);
   void update_placement(Machine& machine, Placement& placement, const wire::TaskStatus& status,
                         double now);
   void unknown_task(Machine& machine, const wire::TaskStatus& status, double now);
--- a/tests/agent_attempt_table_test.cpp
+++ b/tests/agent_attempt_table_test.cpp
@@ -202,6 +202,31 @@
   EXPECT_EQ(table.tasks().size(), 1u);
 }
 
+// Controllers acknowledge an attempt under a higher token than that of its direct start.
+TEST(AttemptTable, AStartThatTheTableNoLongerRemembersIsRefusedByItsToken) {
+  constexpr std::uint64_t kStartToken = 9;
+  constexpr std::uint64_t kMoreThanRemembered = 2001;
+  TempDir dir;
+  AttemptTable table;
+  table.token = kStartToken;
+  const auto run = [&](const Key& key) {
+    table.execute({make(Command::Op::start, key)});
+    table.exited(key, ExitReason::done);
+    table.execute({make(Command::Op::acknowledge, key)});
+  };
+  table.execute({make(Command::Op::start, kA)});
+  table.token = kStartToken + 1;
+  run(kA);
+  for (std::uint32_t task = 1; task <= kMoreThanRemembered; ++task) run({kA.job, task, 7});
+  EXPECT_LT(table.acknowledged.size(), kMoreThanRemembered);
+  AttemptTable without_token = table;
+  EXPECT_EQ(without_token.execute({make(Command::Op::start, kA)}).size(), 1u);
+  EXPECT_FALSE(table.accepts(kStartToken));
+  agent::AgentJournal(dir.path / "r.db", [](const std::string&) {}).begin("m", "boot", table);
+  agent::AgentJournal restarted(dir.path / "r.db", [](const std::string&) {});
+  EXPECT_FALSE(restarted.load("m")->accepts(kStartToken));
+}
+
 TEST(AttemptTable, StopSavesOnlyWithEnoughGraceAndStopWithoutGraceKills) {
   AttemptTable table;
   table.execute({make(Command::Op::start, kA)});
--- a/tests/shard_scheduler_test.cpp
+++ b/tests/shard_scheduler_test.cpp
@@ -543,6 +543,29 @@
   EXPECT_EQ(unexpected[0].status.attempt, starts[0].attempt);
 }
 
+TEST(ShardScheduler, AnUnexpectedAttemptInAnOldHeartbeatIsCountedOnlyIfALaterOneListsItToo) {
+  for (const bool is_listed_again : {false, true}) {
+    SingleShard shard;
+    shard.add_machine("m-1");
+    wire::Heartbeat old;
+    old.machine = "m-1";
+    old.type = "t4";
+    old.zone = "a";
+    old.incarnation = 1;
+    old.sequence = ++shard.sequence;
+    old.token = shard.scheduler->token() - 1;
+    old.tasks = {{{"run-100009", 0}, 7, wire::TaskState::running, wire::ExitReason::none}};
+    shard.scheduler->take_heartbeat(old, 1);
+    EXPECT_EQ(shard.scheduler->counters().unexpected, 0u);
+    std::vector<wire::TaskStatus> stopped = {
+        {{"run-100009", 0}, 7, wire::TaskState::exited, wire::ExitReason::stopped}};
+    if (!is_listed_again) stopped.clear();
+    shard.heartbeat("m-1", 2, stopped);
+    shard.heartbeat("m-1", 3, stopped);
+    EXPECT_EQ(shard.scheduler->counters().unexpected, is_listed_again ? 1u : 0u);
+  }
+}
+
 // A copy of a direct start may arrive after its answer, and starts an attempt that the worker has
 // removed under the same token.
 TEST(ShardScheduler, AnAnsweredDirectStartIsAcknowledgedOnlyUnderAHigherToken) {
