--- a/tests/shard_scheduler_test.cpp
+++ b/tests/shard_scheduler_test.cpp
@@ -72,10 +72,10 @@
     scheduler->advance_token(*store.commit(new_leader), now);
     read_store();
   }
-  /// Sends a heartbeat that lists `tasks`, and returns the commands in the response.
-  std::vector<wire::Command> heartbeat(const std::string& name, double now,
-                                       std::vector<wire::TaskStatus> tasks = {},
-                                       std::uint64_t incarnation = 1) {
+  /// Returns a machine's next heartbeat, whose worker has seen this token as the highest.
+  wire::Heartbeat next_heartbeat(const std::string& name, std::uint64_t token,
+                                 std::vector<wire::TaskStatus> tasks = {},
+                                 std::uint64_t incarnation = 1) {
     wire::Heartbeat message;
     message.machine = name;
     message.addr = "10.0.0.1:1";
@@ -83,8 +83,16 @@
     message.zone = "a";
     message.incarnation = incarnation;
     message.sequence = ++sequence;
-    message.token = scheduler->command_token(name);
+    message.token = token;
     message.tasks = std::move(tasks);
+    return message;
+  }
+  /// Sends a heartbeat that lists `tasks`, and returns the commands in the response.
+  std::vector<wire::Command> heartbeat(const std::string& name, double now,
+                                       std::vector<wire::TaskStatus> tasks = {},
+                                       std::uint64_t incarnation = 1) {
+    const wire::Heartbeat message =
+        next_heartbeat(name, scheduler->command_token(name), std::move(tasks), incarnation);
     scheduler->take_heartbeat(message, now);
     schedule_and_commit(now);
     return scheduler->commands_for(name, true, now);
@@ -547,15 +555,10 @@
   for (const bool is_listed_again : {false, true}) {
     SingleShard shard;
     shard.add_machine("m-1");
-    wire::Heartbeat old;
-    old.machine = "m-1";
-    old.type = "t4";
-    old.zone = "a";
-    old.incarnation = 1;
-    old.sequence = ++shard.sequence;
-    old.token = shard.scheduler->token() - 1;
-    old.tasks = {{{"run-100009", 0}, 7, wire::TaskState::running, wire::ExitReason::none}};
-    shard.scheduler->take_heartbeat(old, 1);
+    const std::vector<wire::TaskStatus> running = {
+        {{"run-100009", 0}, 7, wire::TaskState::running, wire::ExitReason::none}};
+    const std::uint64_t earlier_token = shard.scheduler->token() - 1;
+    shard.scheduler->take_heartbeat(shard.next_heartbeat("m-1", earlier_token, running), 1);
     EXPECT_EQ(shard.scheduler->counters().unexpected, 0u);
     std::vector<wire::TaskStatus> stopped = {
         {{"run-100009", 0}, 7, wire::TaskState::exited, wire::ExitReason::stopped}};
@@ -653,14 +656,8 @@
   shard.submit(job);
   shard.scheduler->recover_page(0, {"t", {{job.spec.id, 0, 1, 0, 1, {{"m-1", 0, 5}}, {}}}}, 0);
   shard.heartbeat("m-2", 1);
-  wire::Heartbeat heartbeat;
-  heartbeat.machine = "m-1";
-  heartbeat.type = "t4";
-  heartbeat.zone = "a";
-  heartbeat.incarnation = 1;
-  heartbeat.sequence = ++shard.sequence;
-  heartbeat.token = shard.scheduler->token() - 1;
-  shard.scheduler->take_heartbeat(heartbeat, 2);
+  const std::uint64_t earlier_token = shard.scheduler->token() - 1;
+  shard.scheduler->take_heartbeat(shard.next_heartbeat("m-1", earlier_token), 2);
   shard.schedule_and_commit(2);
   EXPECT_TRUE(shard.heartbeat("m-2", 3).empty());
   EXPECT_TRUE(shard.scheduler->commands_for("m-1", true, 3).empty());
