An attempt that was started directly is acknowledged only under a token above its start's

Cause: a check in one path and not in another. The answer 200 to a direct start was taken as proof that the start could not arrive again: it is proof only that it was carried out once. docs/safety.md argued from commands in answers to heartbeats. Reaps of attempts without a placement checked nothing at all.

Change: two facts have two names. unacknowledged_token stays "not answered yet"; direct_start_token is the token under which a direct start of the attempt was sent, and an answer does not clear it (a 409 does: nothing was carried out, nor will be). A reap goes out only in a response whose token is higher. A worker sees that token before it executes the reap, and refuses each copy from then on. Reaps of attempts without a placement ask for a token above every direct start that the worker may have got. So that few tokens and heartbeats are needed, each machine has its own command token, one of the leader's: it is raised in the very response that carries the reap; machines that need none keep theirs and send no additional heartbeat. A new token is one write, at most every 30 s for this reason, or at once if more than 64 attempts wait on one machine. A machine whose attempts only await their reap counts as idle, is returned and transferred: the next shard's leader reaps under its own token.

Evidence: the simulation's new rule unfenced_start asks at each reap whether a copy of any direct call that was sent would start the attempt again. History.RulesHoldUnderEveryFailure now plays copies of direct calls too.

--- a/src/controller/direct_command_sender.cpp
+++ b/src/controller/direct_command_sender.cpp
@@ -53,12 +53,12 @@
   };
   for (const auto& direct : scheduler.direct_commands(host_.may_start_tasks(), skip, host_.now()))
     client(direct.machine, direct.addr)
-        .request(
-            "POST", "/orders",
-            wire::encode_direct_commands(scheduler.token(), direct.incarnation, direct.commands),
-            kCommandTimeoutS, host_.reply<net::Result>([this, direct](const net::Result& response) {
-              on_response(direct, response);
-            }));
+        .request("POST", "/orders",
+                 wire::encode_direct_commands(direct.token, direct.incarnation, direct.commands),
+                 kCommandTimeoutS,
+                 host_.reply<net::Result>([this, direct](const net::Result& response) {
+                   on_response(direct, response);
+                 }));
 }
 
 void DirectCommandSender::on_response(const scheduler::DirectCommands& commands,
--- a/src/controller/heartbeat_responder.cpp
+++ b/src/controller/heartbeat_responder.cpp
@@ -63,9 +63,10 @@
 // commands: it may be the last response that the worker receives.
 void HeartbeatResponder::respond_to_older_heartbeat(const net::ExchangePtr& exchange,
                                                     const std::string& machine) {
-  const scheduler::ShardScheduler& scheduler = *host_.active_scheduler();
+  scheduler::ShardScheduler& scheduler = *host_.active_scheduler();
   if (scheduler.has_unacknowledged_start(machine)) return exchange->send(unavailable());
-  exchange->send(heartbeat_response(scheduler.token(), scheduler.stop_commands(machine)));
+  const auto commands = scheduler.stop_commands(machine);
+  exchange->send(heartbeat_response(scheduler.command_token(machine), commands));
 }
 
 // Answers the held heartbeat of this machine with 503, since a newer one has arrived.
@@ -83,7 +84,7 @@
   // been advanced or the direct command has been answered.
   if (scheduler.has_unacknowledged_start(machine)) return exchange->send(unavailable());
   const auto commands = scheduler.commands_for(machine, host_.may_start_tasks(), host_.now());
-  exchange->send(heartbeat_response(scheduler.token(), commands));
+  exchange->send(heartbeat_response(scheduler.command_token(machine), commands));
 }
 
 void HeartbeatResponder::flush_held() {
--- a/src/scheduler/heartbeat_processor.cpp
+++ b/src/scheduler/heartbeat_processor.cpp
@@ -39,10 +39,15 @@
 void HeartbeatProcessor::heartbeat_received(Machine& machine, const wire::Heartbeat& heartbeat,
                                             HeartbeatSource source, double now) {
   MachineTasks& tasks = machine.tasks;
+  // A machine that was another shard's in between may list attempts that this leader has started.
+  const bool is_first = tasks.incarnation == 0;
+  if (is_first && token_policy_.excludes_earlier_leaders(heartbeat.token))
+    tasks.unlisted_start_token = heartbeat.token;
   tasks.incarnation = heartbeat.incarnation;
   tasks.sequence = heartbeat.sequence;
   tasks.token = heartbeat.token;
-  if (heartbeat.token == token_policy_.token()) {
+  token_policy_.update_command_token(machine);
+  if (token_policy_.excludes_earlier_leaders(heartbeat.token)) {
     tasks.token_seen = true;
     tasks.needs_resync = false;
   }
@@ -188,14 +193,14 @@
     return false;
   }
   if (placement.recovered) {
-    const bool under_our_token = heartbeat.token == token_policy_.token();
+    const bool under_our_token = token_policy_.excludes_earlier_leaders(heartbeat.token);
     if (!under_our_token && !placement.released) return false;
     placements_.release(machine, placement, now);
     return true;
   }
   const bool is_unwanted = placement.job->ended || placement.job->done(placement.task);
   if (is_unwanted && placement.phase == Phase::committed &&
-      TokenPolicy::is_acknowledged(machine, placement)) {
+      TokenPolicy::is_answered(machine, placement)) {
     // The task is not on the machine, no start command is in flight, and none will be sent.
     placements_.release_without_requeue(machine, placement, now);
     return true;
--- a/src/scheduler/machine.cpp
+++ b/src/scheduler/machine.cpp
@@ -18,6 +18,12 @@
                      });
 }
 
+bool Machine::has_work() const {
+  return !std::all_of(
+      tasks.placements.begin(), tasks.placements.end(),
+      [](const Placement& placement) { return placement.awaits_acknowledgement(); });
+}
+
 void Machine::note_idle(double now) {
   const bool is_idle = state == up && is_empty();
   if (is_idle && !was_idle) idle_since = now;
--- a/src/scheduler/machine.h
+++ b/src/scheduler/machine.h
@@ -89,8 +89,10 @@
   [[nodiscard]] bool accepts_work(double now) const {
     return state == up && !leaving && !draining && avoid_until <= now;
   }
-  /// Returns whether it has no placements and no queued tasks.
-  [[nodiscard]] bool is_empty() const { return tasks.placements.empty() && queue.tasks.empty(); }
+  /// Returns whether it has placements other than those that only await their acknowledgement.
+  [[nodiscard]] bool has_work() const;
+  /// Returns whether it has neither work nor queued tasks.
+  [[nodiscard]] bool is_empty() const { return !has_work() && queue.tasks.empty(); }
   /// Returns whether a replica of a service may run on it.
   [[nodiscard]] bool has_replicas() const;
   /// Returns whether tasks of several jobs have failed on it.
--- a/src/scheduler/machine_transfers.cpp
+++ b/src/scheduler/machine_transfers.cpp
@@ -32,7 +32,7 @@
 // machine: the inventory may already be committing its transfer.
 void MachineTransfers::cancel_transfer(Machine& machine) {
   if (machine.transfer_to < 0 || machine.lost || machine.return_requested) return;
-  if (machine.tasks.placements.empty()) return;
+  if (!machine.has_work()) return;
   machine.transfer_to = -1;
   machine.leaving = machine.is_faulty();
   context_.scheduling_due = true;
--- a/src/scheduler/placement.h
+++ b/src/scheduler/placement.h
@@ -36,6 +36,10 @@
   /// Token of a direct start command that the worker has not answered and may still carry out; 0:
   /// there is none.
   std::uint64_t unacknowledged_token = 0;
+  /// Token of the direct command that contained its start; 0: there is none. A copy of a command
+  /// may arrive at any time, also after the answer. A worker that no longer lists the attempt
+  /// executes the copy, unless it has seen a higher token.
+  std::uint64_t direct_start_token = 0;
   /// At least one heartbeat has listed the attempt.
   bool seen = false;
   /// The attempt is proven not to run, now or later: its resources are free.
@@ -56,6 +60,16 @@
   /// The queue entry that the placement was made from. It holds the time at which the task began to
   /// wait, and the chain steps whose learners record its cost.
   QueuedTask queued_task;
+
+  /// Returns whether the worker has to keep the attempt's result, since it is not persisted yet.
+  /// The results of failed or stopped attempts are not kept.
+  [[nodiscard]] bool is_result_kept() const {
+    return exit_reason == wire::ExitReason::done && !job->ended && !job->persisted(task);
+  }
+  /// Returns whether the attempt is over, and the worker only has to be told to remove it.
+  [[nodiscard]] bool awaits_acknowledgement() const {
+    return released && seen && state == wire::TaskState::exited && !is_result_kept();
+  }
 };
 
 /// The placements of one machine, and the contents of its worker's newest heartbeat.
@@ -67,6 +81,12 @@
   std::uint64_t incarnation = 0, sequence = 0;
   /// The highest token that the worker had seen when it sent the newest heartbeat.
   std::uint64_t token = 0;
+  /// Token under which this leader sends its commands to the machine (TokenPolicy::command_token);
+  /// 0: the one under which the leader took the shard.
+  std::uint64_t command_token = 0;
+  /// Highest token of a direct start that the worker may have received for an attempt without a
+  /// placement.
+  std::uint64_t unlisted_start_token = 0;
   /// A heartbeat under a token of this leader has been received: the worker accepts no response of
   /// an earlier leader any more.
   bool token_seen = false;
--- a/src/scheduler/rentals.cpp
+++ b/src/scheduler/rentals.cpp
@@ -140,11 +140,7 @@
     if (!machine->leaving || machine->return_requested || machine->name.empty()) continue;
     if (machine->transfer_to >= 0 && !machine->lost) continue;
     // Wait for the tasks of a reachable machine to finish, but not for those of a lost one.
-    const auto& placements = machine->tasks.placements;
-    const bool is_running =
-        std::any_of(placements.begin(), placements.end(),
-                    [](const Placement& placement) { return !placement.acknowledging; });
-    if (is_running && !machine->lost) continue;
+    if (machine->has_work() && !machine->lost) continue;
     machine->return_requested = true;
     names.push_back(machine->name);
   }
--- a/src/scheduler/replica_consolidation.cpp
+++ b/src/scheduler/replica_consolidation.cpp
@@ -31,17 +31,26 @@
   return placement.state == TaskState::running && now - placement.started >= kSettleTimeS;
 }
 
+// Returns the number of replicas to move before the machine can be returned.
+std::ptrdiff_t ReplicaConsolidation::replicas_on(const Machine& machine) {
+  const std::vector<Placement>& placements = machine.tasks.placements;
+  return std::count_if(placements.begin(), placements.end(), [](const Placement& placement) {
+    return !placement.awaits_acknowledgement();
+  });
+}
+
 double ReplicaConsolidation::saving(const Machine& machine, double now) const {
   const std::vector<Placement>& placements = machine.tasks.placements;
   if (!machine.accepts_work(now) || !machine.in_inventory || machine.type < 0) return 0;
-  if (placements.empty() || !machine.queue.tasks.empty()) return 0;
+  if (!machine.has_work() || !machine.queue.tasks.empty()) return 0;
   const auto& type = context_.catalogue.types[static_cast<std::size_t>(machine.type)];
   const auto capacity = static_cast<double>(type.capacity.cpus);
   if (static_cast<double>(machine.tasks.used.cpus) > kMaxUsedShare * capacity) return 0;
-  if (!std::all_of(placements.begin(), placements.end(),
-                   [&](const Placement& placement) { return is_settled(placement, now); }))
+  if (!std::all_of(placements.begin(), placements.end(), [&](const Placement& placement) {
+        return placement.awaits_acknowledgement() || is_settled(placement, now);
+      }))
     return 0;
-  return context_.catalogue.rate(machine.tier()) / static_cast<double>(placements.size());
+  return context_.catalogue.rate(machine.tier()) / static_cast<double>(replicas_on(machine));
 }
 
 // Returns true if a replica may move to `to`. Moves go only to fuller or cheaper machines, so that
@@ -55,7 +64,7 @@
 bool ReplicaConsolidation::plan_move(const Machine& to, const Machine& from, const Job& job,
                                      PlannedMoves& moves, double now) const {
   if (&to == &from || !to.accepts_work(now) || !to.in_inventory) return false;
-  if (to.tasks.placements.empty() || !to.queue.tasks.empty()) return false;
+  if (!to.has_work() || !to.queue.tasks.empty()) return false;
   if (!machines_.type_ok(job, to.type, to.spot) || !Machines::warm(to, job.image)) return false;
   if (!is_better(to, from)) return false;
   Resources& taken = moves.used_capacity[to.number];
@@ -72,6 +81,7 @@
   const auto& all = machines_.all();
   return std::all_of(machine.tasks.placements.begin(), machine.tasks.placements.end(),
                      [&](const Placement& placement) {
+                       if (placement.awaits_acknowledgement()) return true;
                        return std::any_of(all.begin(), all.end(), [&](const auto& entry) {
                          return plan_move(*entry.second, machine, *placement.job, moves, now);
                        });
@@ -101,7 +111,8 @@
 
 void ReplicaConsolidation::drain(Machine& machine) {
   machine.leaving = true;
-  for (Placement& placement : machine.tasks.placements) placements_.stop(machine, placement);
+  for (Placement& placement : machine.tasks.placements)
+    if (!placement.released) placements_.stop(machine, placement);
   ++context_.counters.consolidated;
 }
 
@@ -111,7 +122,7 @@
   PlannedMoves planned;
   for (const DrainCandidate& candidate : drain_candidates(now)) {
     Machine& machine = *candidate.machine;
-    const auto moves = static_cast<double>(machine.tasks.placements.size());
+    const auto moves = static_cast<double>(replicas_on(machine));
     if (moves > move_budget_) continue;
     const auto arriving = planned.used_capacity.find(machine.number);
     if (arriving != planned.used_capacity.end() && arriving->second.cpus > 0) continue;
--- a/src/scheduler/replica_consolidation.h
+++ b/src/scheduler/replica_consolidation.h
@@ -2,6 +2,7 @@
 // emptied machines (PROTOCOL, Preemption: a task may be stopped to drain a machine). Performs no
 // I/O.
 #pragma once
+#include <cstddef>
 #include <map>
 #include <utility>
 #include <vector>
@@ -35,6 +36,7 @@
   };
 
   static bool is_settled(const Placement& placement, double now);
+  static std::ptrdiff_t replicas_on(const Machine& machine);
   /// Returns the price per second that draining the machine would save for each move; 0 if the
   /// machine must not be drained.
   double saving(const Machine& machine, double now) const;
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -243,13 +243,19 @@
   Machine* machine = machines_.find(machine_name);
   if (!machine) return {};
   machine->last_response_at = now;
-  machine->last_response_token = token();
-  return worker_commands_.commands_for(*machine, fresh, now);
+  std::vector<wire::Command> commands = worker_commands_.commands_for(*machine, fresh, now);
+  machine->last_response_token = token_policy_.command_token(*machine);
+  return commands;
 }
 
-std::vector<wire::Command> ShardScheduler::stop_commands(const std::string& machine_name) const {
+std::vector<wire::Command> ShardScheduler::stop_commands(const std::string& machine_name) {
+  Machine* machine = machines_.find(machine_name);
+  return machine ? worker_commands_.stop_commands(*machine) : std::vector<wire::Command>{};
+}
+
+std::uint64_t ShardScheduler::command_token(const std::string& machine_name) const {
   const Machine* machine = machines_.find(machine_name);
-  return machine ? WorkerCommands::stop_commands(*machine) : std::vector<wire::Command>{};
+  return machine ? token_policy_.command_token(*machine) : token();
 }
 
 bool ShardScheduler::has_unacknowledged_start(const std::string& machine_name) const {
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -115,7 +115,10 @@
   /// WorkerCommands::awaits_commit
   [[nodiscard]] bool awaits_commit(const std::string& machine_name);
   /// WorkerCommands::stop_commands
-  [[nodiscard]] std::vector<wire::Command> stop_commands(const std::string& machine_name) const;
+  [[nodiscard]] std::vector<wire::Command> stop_commands(const std::string& machine_name);
+  /// Returns the token for the response that contains the commands returned last for the machine
+  /// (TokenPolicy::command_token).
+  [[nodiscard]] std::uint64_t command_token(const std::string& machine_name) const;
   /// Returns whether responses must not renew the machine's lease under the current token
   /// (WorkerCommands::has_unacknowledged_start).
   [[nodiscard]] bool has_unacknowledged_start(const std::string& machine_name) const;
--- a/src/scheduler/worker_commands.cpp
+++ b/src/scheduler/worker_commands.cpp
@@ -39,7 +39,8 @@
 
 // ---- heartbeats' responses
 
-std::vector<Command> WorkerCommands::stop_commands(const Machine& machine) {
+std::vector<Command> WorkerCommands::stop_commands(Machine& machine) const {
+  token_policy_.update_command_token(machine);
   std::vector<Command> commands;
   for (const Placement& placement : machine.tasks.placements)
     if (must_end(placement)) commands.push_back(command(Command::Op::stop, placement));
@@ -62,6 +63,7 @@
 }
 
 std::vector<Command> WorkerCommands::commands_for(Machine& machine, bool fresh, double now) {
+  token_policy_.update_command_token(machine);
   Response response;
   for (Placement& placement : machine.tasks.placements)
     add_command(machine, placement, fresh, now, response);
@@ -70,13 +72,6 @@
   return std::move(response.commands);
 }
 
-// Returns whether the worker has to keep the attempt's result, since it is not persisted yet. The
-// results of failed or stopped attempts are not kept.
-bool WorkerCommands::is_result_kept(const Placement& placement) {
-  return placement.exit_reason == ExitReason::done && !placement.job->ended &&
-         !placement.job->persisted(placement.task);
-}
-
 // Returns whether the cloud is about to take the machine away and the task has only just enough
 // time left to save its progress.
 bool WorkerCommands::must_save_now(const Machine& machine, const Placement& placement) const {
@@ -90,8 +85,8 @@
                                  Response& response) {
   std::vector<Command>& commands = response.commands;
   if (placement.released) {
-    if (!is_result_kept(placement) && placement.seen && placement.state == TaskState::exited &&
-        TokenPolicy::is_acknowledged(machine, placement)) {
+    if (placement.awaits_acknowledgement() &&
+        token_policy_.is_fenced(machine, placement.direct_start_token)) {
       placement.acknowledging = true;
       commands.push_back(command(Command::Op::acknowledge, placement));
     }
@@ -148,7 +143,7 @@
 }
 
 // Adds stop commands for unknown tasks that run, and acknowledgements for those that have exited,
-// unless their result is yet to be persisted.
+// unless their result is yet to be persisted or a copy of their start may still be executed.
 void WorkerCommands::add_unknown_tasks(const Machine& machine,
                                        std::vector<Command>& commands) const {
   for (const wire::TaskStatus& status : machine.tasks.unknown_tasks) {
@@ -156,6 +151,7 @@
       commands.push_back({Command::Op::stop, status.task, status.attempt, 0});
       continue;
     }
+    if (!token_policy_.is_fenced(machine, machine.tasks.unlisted_start_token)) continue;
     const auto job = context_.jobs.find(status.task.job);
     if (status.exit_reason != ExitReason::done || job == context_.jobs.end() ||
         job->second->persisted(status.task.index))
@@ -180,10 +176,12 @@
       continue;
     }
     if (machine->state != Machine::up || tasks.direct_in_flight ||
-        tasks.token > token_policy_.token() || machine->addr.empty() || skip(machine->name))
+        tasks.token > token_policy_.command_token(*machine) || machine->addr.empty() ||
+        skip(machine->name))
       continue;
     const bool silent = now - machine->last_heartbeat > 2 * context_.settings.heartbeat_s;
-    DirectCommands direct{machine->name, machine->addr, tasks.incarnation, {}};
+    DirectCommands direct{
+        machine->name, machine->addr, tasks.incarnation, token_policy_.command_token(*machine), {}};
     for (Placement& placement : tasks.placements)
       add_direct_command(*machine, placement, silent, direct.commands);
     if (direct.commands.empty()) continue;
@@ -196,11 +194,11 @@
 // Returns a request without commands. It shows the worker the leader's token, so that commands of
 // earlier leaders are no longer carried out, and its response lists the tasks on the machine.
 // Before the first heartbeat the incarnation is a guess; a 409 response contains the actual one.
-DirectCommands WorkerCommands::resync_request(Machine& machine, double now) {
+DirectCommands WorkerCommands::resync_request(Machine& machine, double now) const {
   machine.tasks.direct_in_flight = true;
   machine.tasks.resync_at = now + kResyncIntervalS;
   const auto incarnation = std::max<std::uint64_t>(machine.tasks.incarnation, 1);
-  return {machine.name, machine.addr, incarnation, {}};
+  return {machine.name, machine.addr, incarnation, token_policy_.command_token(machine), {}};
 }
 
 void WorkerCommands::add_direct_command(Machine& machine, Placement& placement, bool silent,
@@ -226,7 +224,9 @@
                       !placement.recovered && !placement.sent && !placement.unacknowledged_token;
   if (!wanted || !unsent) return;
   placement.sent = placement.sent_directly = true;
-  placement.unacknowledged_token = token_policy_.token();
+  const std::uint64_t token = token_policy_.command_token(machine);
+  placement.unacknowledged_token = placement.direct_start_token = token;
+  machine.tasks.unlisted_start_token = std::max(machine.tasks.unlisted_start_token, token);
   note_sent(machine, placement);
   ++context_.counters.direct;
   commands.push_back(command(Command::Op::start, placement));
@@ -242,10 +242,11 @@
     if (command.op != Command::Op::start) continue;
     for (Placement& placement : machine->tasks.placements) {
       if (placement.attempt != command.attempt) continue;
-      // OK: the start was carried out. Conflict: it was not. For any other status it may have been,
-      // or may be later: it is sent again in the response to a heartbeat, where a second copy has
-      // no effect.
+      // OK: the start was carried out, and a copy has no effect while the worker lists the attempt.
+      // Conflict: it was not, and no copy will be. For any other status it may have been, or may be
+      // later: it is sent again in the response to a heartbeat, where a second copy has no effect.
       if (status == kHttpOk || status == kHttpConflict) placement.unacknowledged_token = 0;
+      if (status == kHttpConflict) placement.direct_start_token = 0;
       if (status != kHttpOk && !placement.seen) placement.sent = placement.sent_directly = false;
     }
   }
--- a/src/scheduler/worker_commands.h
+++ b/src/scheduler/worker_commands.h
@@ -19,6 +19,7 @@
 struct DirectCommands {
   std::string machine, addr;
   std::uint64_t incarnation = 0;
+  std::uint64_t token = 0;
   std::vector<wire::Command> commands;
 };
 
@@ -38,11 +39,11 @@
   [[nodiscard]] std::vector<wire::Command> commands_for(Machine& machine, bool fresh, double now);
   /// Returns the commands for the response to a heartbeat that arrived after a newer one: stop
   /// commands for unwanted tasks, and no others.
-  [[nodiscard]] static std::vector<wire::Command> stop_commands(const Machine& machine);
+  [[nodiscard]] std::vector<wire::Command> stop_commands(Machine& machine) const;
   /// Returns whether the machine has placements that are not recorded yet. A response that waits
   /// for their commit can contain their start commands.
   [[nodiscard]] static bool awaits_commit(const Machine& machine);
-  /// Returns whether a direct start of a cancelled job may still be carried out under the current
+  /// Returns whether a direct start of a cancelled job may still be carried out under the newest
   /// token. A response must not renew the lease under that token then (docs/safety.md, "From a
   /// confirmed cancellation to the last task").
   [[nodiscard]] bool has_unacknowledged_start(const Machine& machine) const;
@@ -50,8 +51,9 @@
   /// Returns direct commands for the machines listed for them, except for those that `skip` selects
   /// by name because a heartbeat of theirs is about to be answered. A worker may carry out a direct
   /// command at any time while its token and incarnation are valid. An attempt started that way is
-  /// therefore unacknowledged until the request is answered: until then, or until the worker has
-  /// seen a higher token, it is neither acknowledged to the worker nor given up.
+  /// therefore given up only once the request is answered, or once the worker has seen a higher
+  /// token. It is acknowledged only in a response under a higher token, since a copy of the request
+  /// may still arrive after the answer.
   [[nodiscard]] std::vector<DirectCommands> direct_commands(
       bool fresh, const std::function<bool(const std::string&)>& skip, double now);
   /// Handles the HTTP status of the response to a request with direct commands.
@@ -69,12 +71,11 @@
                    Response& response);
   void add_start(Machine& machine, Placement& placement, bool fresh, double now,
                  Response& response);
-  static bool is_result_kept(const Placement& placement);
   bool must_save_now(const Machine& machine, const Placement& placement) const;
   static void drop_unsent(Machine& machine, double now);
   void add_unknown_tasks(const Machine& machine, std::vector<wire::Command>& commands) const;
 
-  static DirectCommands resync_request(Machine& machine, double now);
+  DirectCommands resync_request(Machine& machine, double now) const;
   void add_direct_command(Machine& machine, Placement& placement, bool silent,
                           std::vector<wire::Command>& commands);
   void note_sent(const Machine& machine, Placement& placement);
--- a/src/simulation/fault_injector.cpp
+++ b/src/simulation/fault_injector.cpp
@@ -11,7 +11,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kHeartbeatPath = "/agent/beat";
 constexpr const char* kCommitPath = "/commit";
-constexpr const char* kDirectCommandPath = "/orders";
 constexpr double kDelayedCommitMinS = 2, kDelayedCommitMaxS = 12;
 constexpr double kCommandCopyMinS = 0.1;  // delay of a copy of a direct command
 constexpr double kCommandCopyMaxLeases = 2.2;
--- a/src/simulation/rule_checker.cpp
+++ b/src/simulation/rule_checker.cpp
@@ -112,7 +112,26 @@
     report("wrong_place: " + task_name(task) + " on type " + machine.type);
 }
 
-void RuleChecker::task_acknowledged(const WorkerEmulator::Task& task) {
+void RuleChecker::direct_commands_sent(const Request& request) {
+  const auto message = client_protocol::decode_heartbeat_response(request.body);
+  if (!message.token || !message.incarnation) return;
+  for (const wire::Command& command : message.commands) {
+    if (command.op != wire::Command::Op::start) continue;
+    Validity& newest = direct_starts_[{request.to, task_name(command.task), command.attempt}];
+    newest = std::max(newest, Validity{*message.incarnation, *message.token});
+  }
+}
+
+// Once the worker has removed an attempt, only its incarnation and token keep it from executing a
+// late copy of the attempt's start. Neither ever falls, so what holds at this moment holds later.
+void RuleChecker::task_acknowledged(const WorkerEmulator& worker,
+                                    const WorkerEmulator::Task& task) {
+  const auto start =
+      direct_starts_.find({worker.settings().at.host, task_name(task.id), task.attempt});
+  if (start != direct_starts_.end() && start->second.incarnation == worker.incarnation() &&
+      start->second.token >= worker.token())
+    report("unfenced_start: a copy of the direct start of " + task_name(task.id) + " on " +
+           worker.settings().name + " would be executed after its acknowledgement");
   if (task.exit_reason == wire::ExitReason::done) acknowledged_.insert(task_name(task.id));
 }
 
--- a/src/simulation/rule_checker.h
+++ b/src/simulation/rule_checker.h
@@ -2,6 +2,7 @@
 /// checks use only the tasks on the machines and the answers to users, never the controllers'
 /// state.
 #pragma once
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -42,8 +43,12 @@
   /// completed for the first time.
   bool task_state_changed(const emulators::WorkerEmulator& worker,
                           const emulators::WorkerEmulator::Task& task, wire::TaskState previous);
-  /// Records that a worker has removed an exited task after an acknowledge command.
-  void task_acknowledged(const emulators::WorkerEmulator::Task& task);
+  /// Records the start commands of a request to a worker, when it is sent.
+  void direct_commands_sent(const Request& request);
+  /// Checks that a worker may remove an exited task after an acknowledge command. Rule:
+  /// unfenced_start.
+  void task_acknowledged(const emulators::WorkerEmulator& worker,
+                         const emulators::WorkerEmulator::Task& task);
   /// Checks the answer to a user's request that was sent at `asked_at`. Returns the job's state in
   /// the answer, if it has one. Throws wire::Malformed if the body cannot be decoded.
   std::optional<wire::JobState> check_answer(const std::string& id, const net::Result& result,
@@ -101,6 +106,19 @@
     std::set<std::string> placed;                               // names of tasks
   };
   using TaskOnMachine = std::pair<std::string, std::string>;  // names of a task and a machine
+  /// One attempt of a task on a machine.
+  struct AttemptOnMachine {
+    std::string host;
+    std::string task;
+    std::uint64_t attempt;
+    friend auto operator<=>(const AttemptOnMachine&, const AttemptOnMachine&) = default;
+  };
+  /// What a worker compares before it executes direct commands. The newer one is the greater one.
+  struct Validity {
+    std::uint64_t incarnation = 0;
+    std::uint64_t token = 0;
+    friend auto operator<=>(const Validity&, const Validity&) = default;
+  };
 
   void count_start(const std::string& name, double cancelled_reported_at);
   void check_start(const emulators::WorkerEmulator& worker,
@@ -126,8 +144,9 @@
   const SimulatedMachines& machines_;
   JobRecords& jobs_;
   std::vector<std::string> broken_;
-  std::set<std::string> acknowledged_;          // completed tasks that workers have removed
-  std::map<std::string, double> first_run_at_;  // by job
+  std::map<AttemptOnMachine, Validity> direct_starts_;  // the newest of each attempt
+  std::set<std::string> acknowledged_;                  // completed tasks that workers have removed
+  std::map<std::string, double> first_run_at_;          // by job
   AfterCancel after_cancel_;
   std::uint64_t starts_ = 0, saves_ = 0, restarts_after_completion_ = 0;
   double faults_ended_at_ = -1, waiting_checked_at_ = 0;
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -43,7 +43,10 @@
       rules_(simulation_, options_, machines_, jobs_),
       users_(simulation_, options_, controllers_, jobs_, rules_),
       faults_(simulation_, options_, controllers_, machines_, state_, cloud_) {
-  simulation_.delivery_of = [this](const Request& request) { return faults_.deliver(request); };
+  simulation_.delivery_of = [this](const Request& request) {
+    if (request.path == kDirectCommandPath) rules_.direct_commands_sent(request);
+    return faults_.deliver(request);
+  };
   simulation_.answer_delay_of = [this](const Request& request) {
     return faults_.answer_delay(request);
   };
@@ -65,8 +68,8 @@
       [this](const WorkerEmulator& worker, const WorkerEmulator::Task& task, wire::TaskState was) {
         if (rules_.task_state_changed(worker, task, was)) users_.task_completed(task.id.job);
       },
-      [this](const WorkerEmulator&, const WorkerEmulator::Task& task) {
-        rules_.task_acknowledged(task);
+      [this](const WorkerEmulator& worker, const WorkerEmulator::Task& task) {
+        rules_.task_acknowledged(worker, task);
       }};
 }
 
--- a/src/simulation/simulation.h
+++ b/src/simulation/simulation.h
@@ -70,6 +70,9 @@
   actor::Loop loop_{*this};
 };
 
+/// Path of the requests with direct commands (PROTOCOL, "Controller nodes -> workers").
+inline constexpr const char* kDirectCommandPath = "/orders";
+
 /// An HTTP request in transit.
 struct Request {
   std::string from, to;  ///< host names
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -397,8 +397,9 @@
       if (scheduler.take_heartbeat(heartbeat, now_) ==
           scheduler::ShardScheduler::HeartbeatResult::unknown)
         continue;
-      worker.execute(scheduler.token(), scheduler.commands_for(worker.name, true, now_),
-                     heartbeat.incarnation, now_, now_, rng_);
+      const auto commands = scheduler.commands_for(worker.name, true, now_);
+      worker.execute(scheduler.command_token(worker.name), commands, heartbeat.incarnation, now_,
+                     now_, rng_);
     }
   }
   // Runs the given number of seconds: exchanges offers, commits and sends heartbeats.
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -218,18 +218,19 @@
   }
 
   // Sends direct commands. They are executed at once, lost, or delayed and executed later if token
-  // and incarnation still match; their answers may be lost.
+  // and incarnation still match; their answers may be lost. Of executed ones a copy may arrive.
   void send_direct_commands(Node& node) {
     for (auto& commands : node.scheduler->direct_commands(
              now_ - node.synced_at < 5, [](const std::string&) { return false; }, now_)) {
       if (chance(0.15)) {
         if (chance(0.7))
-          delayed_commands_.push_back(
-              {now_ + static_cast<double>(rng_() % 90), node.scheduler->token(), commands});
+          delayed_commands_.push_back({now_ + static_cast<double>(rng_() % 90), commands});
         node.scheduler->direct_commands_done(commands, 0);
         continue;
       }
-      auto body = deliver_direct_commands(node.scheduler->token(), commands);
+      auto body = deliver_direct_commands(commands);
+      if (chance(0.3))  // a copy
+        delayed_commands_.push_back({now_ + static_cast<double>(rng_() % 90), commands});
       if (!body || chance(0.1)) {
         node.scheduler->direct_commands_done(commands, 0);
         continue;
@@ -239,13 +240,13 @@
     }
   }
   std::optional<std::pair<int, wire::Heartbeat>> deliver_direct_commands(
-      std::uint64_t token, const scheduler::DirectCommands& commands) {
+      const scheduler::DirectCommands& commands) {
     auto it = std::find_if(workers_.begin(), workers_.end(),
                            [&](const Worker& w) { return w.name == commands.machine; });
     if (it == workers_.end()) return std::nullopt;
     int status = 409;
-    if (token >= it->token && commands.incarnation == it->incarnation) {
-      it->execute(token, commands.commands, commands.incarnation, -1e9, now_, rng_);
+    if (commands.token >= it->token && commands.incarnation == it->incarnation) {
+      it->execute(commands.token, commands.commands, commands.incarnation, -1e9, now_, rng_);
       status = 200;
     }
     return std::pair(status, it->heartbeat());
@@ -278,7 +279,7 @@
     if (!node.scheduler) return;
     auto commands =
         node.scheduler->commands_for(heartbeat.machine, now_ - node.synced_at < 5, now_);
-    std::uint64_t token = node.scheduler->token();
+    const std::uint64_t token = node.scheduler->command_token(heartbeat.machine);
     if (!worker || chance(0.1)) return;  // the answer is lost
     std::vector<wire::TaskId> before;
     if (!worker->execute(token, commands, heartbeat.incarnation, sent_at, now_, rng_)) return;
@@ -304,7 +305,7 @@
 
     for (std::size_t i = 0; i < delayed_commands_.size();)
       if (delayed_commands_[i].at <= now_) {
-        deliver_direct_commands(delayed_commands_[i].token, delayed_commands_[i].direct);
+        deliver_direct_commands(delayed_commands_[i].direct);
         delayed_commands_.erase(delayed_commands_.begin() + static_cast<long>(i));
         check();
       } else {
@@ -485,7 +486,6 @@
   };
   struct DelayedCommands {
     double at;
-    std::uint64_t token;
     scheduler::DirectCommands direct;
   };
   std::vector<DelayedCommands> delayed_commands_;
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -161,8 +161,9 @@
     ASSERT_EQ(scheduler.take_heartbeat(heartbeat, now),
               scheduler::ShardScheduler::HeartbeatResult::fresh)
         << worker.name;
-    worker.execute(scheduler.token(), scheduler.commands_for(worker.name, true, now),
-                   heartbeat.incarnation, now, now, rng);
+    const auto commands = scheduler.commands_for(worker.name, true, now);
+    worker.execute(scheduler.command_token(worker.name), commands, heartbeat.incarnation, now, now,
+                   rng);
   }
   void send_all_heartbeats() {
     now += settings.heartbeat_s;
--- a/tests/scheduler_fixture.h
+++ b/tests/scheduler_fixture.h
@@ -97,7 +97,8 @@
     commit(now);
     auto commands = scheduler->commands_for(name, true, now);
     if (!response_lost)
-      worker.execute(scheduler->token(), commands, heartbeat.incarnation, now, now, rng);
+      worker.execute(scheduler->command_token(name), commands, heartbeat.incarnation, now, now,
+                     rng);
     return result;
   }
   /// Sends two heartbeats of each machine except for the silent ones.
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -125,7 +125,8 @@
         continue;
       auto commands = scheduler_->commands_for(worker.name, true, now_);
       if (!chance(0.05))
-        worker.execute(scheduler_->token(), commands, heartbeat.incarnation, now_, now_, rng_);
+        worker.execute(scheduler_->command_token(worker.name), commands, heartbeat.incarnation,
+                       now_, now_, rng_);
     }
     check();
   }
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -37,8 +37,7 @@
     for (auto& direct : site.scheduler->direct_commands(
              true, [](const auto&) { return false; }, now)) {
       Worker& worker = site.workers.at(direct.machine);
-      worker.execute(site.scheduler->token(), direct.commands, worker.incarnation, -1e9, now,
-                     site.rng);
+      worker.execute(direct.token, direct.commands, worker.incarnation, -1e9, now, site.rng);
       site.scheduler->direct_commands_done(direct, 200);
       site.scheduler->take_heartbeat(worker.heartbeat(), now, true);
     }
--- a/tests/shard_scheduler_test.cpp
+++ b/tests/shard_scheduler_test.cpp
@@ -64,6 +64,14 @@
       if (!applied) return;
     }
   }
+  /// Records a new token of the leader.
+  void advance_token(double now) {
+    wire::Transaction new_leader;
+    new_leader.ops.push_back(
+        {state::leader_key(0), wire::encode_record(wire::LeaderRecord{"node-0", "r"}), 0});
+    scheduler->advance_token(*store.commit(new_leader), now);
+    read_store();
+  }
   /// Sends a heartbeat that lists `tasks`, and returns the commands in the response.
   std::vector<wire::Command> heartbeat(const std::string& name, double now,
                                        std::vector<wire::TaskStatus> tasks = {},
@@ -75,7 +83,7 @@
     message.zone = "a";
     message.incarnation = incarnation;
     message.sequence = ++sequence;
-    message.token = scheduler->token();
+    message.token = scheduler->command_token(name);
     message.tasks = std::move(tasks);
     scheduler->take_heartbeat(message, now);
     schedule_and_commit(now);
@@ -506,6 +514,88 @@
   EXPECT_TRUE(acknowledged);
 }
 
+bool acknowledges(const std::vector<wire::Command>& commands, std::uint64_t attempt) {
+  return std::any_of(commands.begin(), commands.end(), [&](const wire::Command& command) {
+    return command.op == wire::Command::Op::acknowledge && command.attempt == attempt;
+  });
+}
+
+// A copy of a direct start may arrive after its answer, and starts an attempt that the worker has
+// removed under the same token.
+TEST(ShardScheduler, AnAnsweredDirectStartIsAcknowledgedOnlyUnderAHigherToken) {
+  SingleShard shard;
+  shard.add_machine("m-1");
+  shard.heartbeat("m-1", 1);
+  const auto direct = shard.start_directly(1, 2);
+  ASSERT_EQ(direct.size(), 1u);
+  const wire::Command start = direct[0].commands.at(0);
+  shard.scheduler->direct_commands_done(direct[0], 200);
+  const std::vector<wire::TaskStatus> failed = {
+      {start.task, start.attempt, wire::TaskState::exited, wire::ExitReason::error}};
+  EXPECT_FALSE(acknowledges(shard.heartbeat("m-1", 3, failed), start.attempt));
+  EXPECT_EQ(shard.scheduler->command_token("m-1"), direct[0].token);
+  EXPECT_TRUE(shard.scheduler->needs_new_token(3));
+  shard.advance_token(3);
+  EXPECT_TRUE(acknowledges(shard.heartbeat("m-1", 4, failed), start.attempt));
+  EXPECT_GT(shard.scheduler->command_token("m-1"), direct[0].token);
+}
+
+// A worker sends an additional heartbeat for each higher token that it sees.
+TEST(ShardScheduler, AMachineThatNeedsNoHigherTokenKeepsItsToken) {
+  SingleShard shard;
+  shard.add_machine("m-1");
+  shard.heartbeat("m-1", 1);
+  const std::uint64_t first_token = shard.scheduler->token();
+  const auto direct = shard.start_directly(1, 2);
+  ASSERT_EQ(direct.size(), 1u);
+  const wire::Command start = direct[0].commands.at(0);
+  shard.scheduler->direct_commands_done(direct[0], 200);
+  const std::vector<wire::TaskStatus> running = {
+      {start.task, start.attempt, wire::TaskState::running, wire::ExitReason::none}};
+  shard.advance_token(3);
+  shard.heartbeat("m-1", 4, running);
+  EXPECT_EQ(shard.scheduler->command_token("m-1"), first_token);
+  EXPECT_FALSE(shard.scheduler->needs_new_token(1000));
+  const std::vector<wire::TaskStatus> stopped = {
+      {start.task, start.attempt, wire::TaskState::exited, wire::ExitReason::error}};
+  EXPECT_TRUE(acknowledges(shard.heartbeat("m-1", 5, stopped), start.attempt));
+  EXPECT_EQ(shard.scheduler->command_token("m-1"), shard.scheduler->token());
+}
+
+TEST(ShardScheduler, AnUnlistedAttemptIsAcknowledgedOnlyUnderATokenAboveEveryDirectStart) {
+  SingleShard shard;
+  shard.add_machine("m-1");
+  const std::vector<wire::TaskStatus> unlisted = {
+      {{"run-100009", 0}, 7, wire::TaskState::exited, wire::ExitReason::error}};
+  // The worker has seen a token of this leader before: it may list one of the leader's attempts.
+  EXPECT_FALSE(acknowledges(shard.heartbeat("m-1", 1, unlisted), 7));
+  EXPECT_TRUE(shard.scheduler->needs_new_token(1));
+  shard.advance_token(1);
+  EXPECT_TRUE(acknowledges(shard.heartbeat("m-1", 2, unlisted), 7));
+  // A direct start under the newer token might be of this attempt too.
+  ASSERT_EQ(shard.start_directly(1, 3).size(), 1u);
+  EXPECT_FALSE(acknowledges(shard.heartbeat("m-1", 4, unlisted), 7));
+}
+
+// Each attempt that waits lengthens its machine's heartbeats, whose size is limited.
+TEST(ShardScheduler, ManyAttemptsOnOneMachineDoNotWaitForTheirAcknowledgement) {
+  SingleShard shard;
+  shard.add_machine("m-1");
+  shard.heartbeat("m-1", 1);
+  ASSERT_EQ(shard.start_directly(1, 2).size(), 1u);
+  std::vector<wire::TaskStatus> unlisted;
+  for (std::uint64_t attempt = 1; attempt <= 64; ++attempt)
+    unlisted.push_back(
+        {{"run-100009", 0}, attempt, wire::TaskState::exited, wire::ExitReason::error});
+  shard.heartbeat("m-1", 3, unlisted);
+  shard.scheduler->advance_token(shard.scheduler->token(), 3);
+  EXPECT_FALSE(shard.scheduler->needs_new_token(32));
+  EXPECT_TRUE(shard.scheduler->needs_new_token(33));
+  unlisted.push_back({{"run-100009", 0}, 65, wire::TaskState::exited, wire::ExitReason::error});
+  shard.heartbeat("m-1", 4, unlisted);
+  EXPECT_TRUE(shard.scheduler->needs_new_token(4.1));
+}
+
 // A start command of an earlier leader may still be in flight to a worker that has not seen the
 // current token. Until it has, a heartbeat that does not list the task proves nothing: if the
 // placement were given up, the task could run twice.
