One question whether a placement is of an attempt; a mark that nothing decides on any more is gone

Placement::acknowledging is dead since machines_to_return asks has_work: its other reader asked for `seen` beside it, which it implied. The comparison of a placement with a task and attempt number stood in HeartbeatProcessor and was written again for the log's reasons: Placement::is_for serves both. Two tests of ShardScheduler spelled out what SingleShard::advance_token does. Two comments named the token, and the saved copies, as they were before.

--- a/src/scheduler/heartbeat_processor.cpp
+++ b/src/scheduler/heartbeat_processor.cpp
@@ -31,11 +31,9 @@
 // there is none.
 std::size_t find_placement(const std::vector<Placement>& placements,
                            const wire::TaskStatus& status) {
-  const auto found =
-      std::find_if(placements.begin(), placements.end(), [&](const Placement& placement) {
-        return placement.attempt == status.attempt && placement.task == status.task.index &&
-               placement.job->spec.id == status.task.job;
-      });
+  const auto found = std::find_if(
+      placements.begin(), placements.end(),
+      [&](const Placement& placement) { return placement.is_for(status.task, status.attempt); });
   return static_cast<std::size_t>(found - placements.begin());
 }
 }  // namespace
@@ -203,7 +201,7 @@
   // still be in flight.
   if (placement.sent || (placement.seen && !placement.recovered)) {
     const bool restarted = heartbeat.incarnation > placement.sent_incarnation;
-    if (restarted || placement.seen || placement.acknowledging) {
+    if (restarted || placement.seen) {
       placements_.release_lost(machine, placement, now);
       return true;
     }
--- a/src/scheduler/placement.h
+++ b/src/scheduler/placement.h
@@ -44,8 +44,6 @@
   bool seen = false;
   /// The attempt is proven not to run, now or later: its resources are free.
   bool released = false;
-  /// An acknowledge command has been sent: the worker need not keep the result any longer.
-  bool acknowledging = false;
   /// The attempt is to be stopped, since other work needs its resources.
   bool preempted = false;
   /// The stop command of a preempted attempt has been sent.
@@ -61,6 +59,10 @@
   /// wait, and the chain steps whose learners record its cost.
   QueuedTask queued_task;
 
+  /// Returns whether it is the placement of this attempt of the task.
+  [[nodiscard]] bool is_for(const wire::TaskId& id, std::uint64_t attempt_number) const {
+    return attempt == attempt_number && task == id.index && job->spec.id == id.job;
+  }
   /// Returns whether the worker has to keep the attempt's result, since it is not persisted yet.
   /// The results of failed or stopped attempts are not kept.
   [[nodiscard]] bool is_result_kept() const {
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -126,7 +126,7 @@
   [[nodiscard]] std::vector<UnexpectedAttempt> take_unexpected() {
     return heartbeat_processor_.take_unexpected();
   }
-  /// Returns whether responses must not renew the machine's lease under the current token
+  /// Returns whether responses must not renew the machine's lease under the newest token
   /// (WorkerCommands::has_unacknowledged_start).
   [[nodiscard]] bool has_unacknowledged_start(const std::string& machine_name) const;
   /// WorkerCommands::direct_commands
--- a/src/scheduler/worker_commands.cpp
+++ b/src/scheduler/worker_commands.cpp
@@ -52,11 +52,9 @@
 
 std::string WorkerCommands::reason_for(const Machine& machine, const Command& command) const {
   const auto& placements = machine.tasks.placements;
-  const auto placement =
-      std::find_if(placements.begin(), placements.end(), [&](const Placement& other) {
-        return other.attempt == command.attempt && other.task == command.task.index &&
-               other.job->spec.id == command.task.job;
-      });
+  const auto placement = std::find_if(
+      placements.begin(), placements.end(),
+      [&](const Placement& other) { return other.is_for(command.task, command.attempt); });
   const bool is_acknowledgement = command.op == Command::Op::acknowledge;
   if (placement == placements.end())
     return "no placement" + (is_acknowledgement ? ", direct starts up to token " +
@@ -107,7 +105,6 @@
   if (placement.released) {
     if (placement.awaits_acknowledgement() &&
         token_policy_.is_fenced(machine, placement.direct_start_token)) {
-      placement.acknowledging = true;
       commands.push_back(command(Command::Op::acknowledge, placement));
     }
     return;
--- a/src/simulation/fault_injector.h
+++ b/src/simulation/fault_injector.h
@@ -89,8 +89,8 @@
   /// Returns the additional delay of the answer to a request in seconds, or a negative number if
   /// the answer is lost.
   [[nodiscard]] double answer_delay(const Request& request);
-  /// Sends copies of the saved heartbeats (`copies_for_next_leader`) to all controllers if a shard
-  /// has had a change of leader since the last call.
+  /// Sends copies of the saved heartbeats (`copies_for_next_leader`) to all controllers, and those
+  /// of the saved direct commands, if a shard has had a change of leader since the last call.
   void send_saved_heartbeats();
   /// The number of copies of direct commands that were sent (`command_copies`,
   /// `command_copies_at_return`).
--- a/tests/shard_scheduler_test.cpp
+++ b/tests/shard_scheduler_test.cpp
@@ -408,12 +408,8 @@
   shard.heartbeat("m-1", 4);
   EXPECT_TRUE(shard.scheduler->has_unacknowledged_start("m-1"));
   EXPECT_TRUE(shard.scheduler->needs_new_token(4));
-  wire::Transaction new_leader;
-  new_leader.ops.push_back(
-      {state::leader_key(0), wire::encode_record(wire::LeaderRecord{"node-0", "r"}), 0});
   const std::uint64_t old_token = shard.scheduler->token();
-  shard.scheduler->advance_token(*shard.store.commit(new_leader), 4.1);
-  shard.read_store();
+  shard.advance_token(4.1);
   EXPECT_FALSE(shard.scheduler->has_unacknowledged_start("m-1"));
   EXPECT_GT(shard.scheduler->token(), old_token);
   EXPECT_FALSE(shard.scheduler->needs_new_token(20));
@@ -511,11 +507,7 @@
   for (const auto& command : shard.heartbeat("m-1", 3, failed))
     EXPECT_NE(command.op, wire::Command::Op::acknowledge);
   EXPECT_TRUE(shard.scheduler->needs_new_token(30));
-  wire::Transaction new_leader;
-  new_leader.ops.push_back(
-      {state::leader_key(0), wire::encode_record(wire::LeaderRecord{"node-0", "r"}), 0});
-  shard.scheduler->advance_token(*shard.store.commit(new_leader), 30);
-  shard.read_store();
+  shard.advance_token(30);
   bool acknowledged = false;
   for (const auto& command : shard.heartbeat("m-1", 31, failed))
     acknowledged |= command.op == wire::Command::Op::acknowledge;
